--- /dev/null
+++ b/src/jayvalve/internal/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Package limits."""
