Add errors, verdicts, wire codec and peer connections

A connection that delivers nothing for 1.5 s while requests wait is closed, and its requests fail with verdict may_have_run.

--- /dev/null
+++ b/src/jayvalve/internal/hashing.py
@@ -0,0 +1,30 @@
+"""Rendezvous hashing: every process derives the same order without shared state."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+__all__ = ["digest", "partition", "rendezvous_order"]
+
+
+def digest(data: bytes) -> str:
+    """Return a 128-bit checksum of data in hexadecimal."""
+    return xxhash.xxh3_128_hexdigest(data)
+
+
+def partition(key: str, partitions: int) -> int:
+    """Return the partition, from 0 to partitions - 1, that a key belongs to."""
+    return xxhash.xxh3_64_intdigest(key.encode()) % partitions
+
+
+def rendezvous_order(key: str, nodes: Iterable[str]) -> list[str]:
+    """Return nodes by descending weight for key (highest random weight hashing).
+
+    A node that joins or leaves changes the first place of only 1/n of the keys.
+    """
+    seed = xxhash.xxh3_64_intdigest(key.encode())
+    return sorted(
+        nodes,
+        key=lambda node: (xxhash.xxh3_64_intdigest(node.encode(), seed), node),
+        reverse=True,
+    )
--- /dev/null
+++ b/src/jayvalve/internal/transport/connection.py
@@ -0,0 +1,181 @@
+"""Client side of one connection to another process."""
+
+import asyncio
+import itertools
+import ssl
+from collections.abc import AsyncIterator
+from typing import Any
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from jayvalve.errors import (
+    InvalidFrameError,
+    JayvalveError,
+    PeerUnavailableError,
+    error_from_code,
+)
+from jayvalve.internal.timing import Clock
+from jayvalve.internal.transport.framing import read_envelope, write_message
+from jayvalve.internal.wire import MAX_FRAME_BYTES, Envelope
+from jayvalve.internal.wire.messages import Failure, Heartbeat, Hello
+from jayvalve.verdict import Verdict
+
+__all__ = ["PeerConnection"]
+
+CONNECT_TIMEOUT_S = 1.0
+KEEPALIVE_INTERVAL_S = 0.5
+SILENCE_LIMIT_S = 1.5
+
+
+class PeerConnection:
+    """Sends requests to one process and matches the replies by request id.
+
+    While requests wait, a keepalive goes out every KEEPALIVE_INTERVAL_S; a connection that
+    delivers nothing for SILENCE_LIMIT_S is closed, because a middlebox may have dropped it
+    without a reset. Its requests then fail with PeerUnavailableError.
+    """
+
+    def __init__(self, stream: IOStream, peer: Hello, clock: Clock) -> None:
+        self._stream = stream
+        self._peer = peer
+        self._clock = clock
+        self._request_ids = itertools.count(1)
+        self._waiting: dict[int, asyncio.Queue[Envelope | JayvalveError]] = {}
+        self._last_received_s = clock.now()
+        self._tasks = [
+            asyncio.ensure_future(self._read_replies()),
+            asyncio.ensure_future(self._keep_alive()),
+        ]
+
+    @classmethod
+    async def open(
+        cls,
+        address: str,
+        identity: Hello,
+        clock: Clock,
+        ssl_options: ssl.SSLContext | None = None,
+    ) -> "PeerConnection":
+        """Connect to ``ip:port`` and exchange Hello messages."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                stream = await TCPClient().connect(
+                    host, int(port), ssl_options=ssl_options, max_buffer_size=2 * MAX_FRAME_BYTES
+                )
+                stream.set_nodelay(True)
+                await write_message(stream, 0, identity)
+                reply = (await read_envelope(stream)).message
+        except (OSError, TimeoutError, StreamClosedError, InvalidFrameError) as error:
+            reason = str(error) or type(error).__name__
+            raise PeerUnavailableError(f"cannot connect to {address}: {reason}") from error
+        if not isinstance(reply, Hello):
+            stream.close()
+            raise PeerUnavailableError(f"{address} did not answer with Hello")
+        return cls(stream, reply, clock)
+
+    @property
+    def peer(self) -> Hello:
+        """Identity of the other process."""
+        return self._peer
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection takes no more requests."""
+        return self._stream.closed()
+
+    async def call(self, message: Any, timeout_s: float) -> Any:
+        """Send a request and return its only reply."""
+        async for reply in self.stream(message, timeout_s):
+            return reply
+        raise PeerUnavailableError("the peer sent no reply", verdict=Verdict.MAY_HAVE_RUN)
+
+    async def stream(self, message: Any, timeout_s: float) -> AsyncIterator[Any]:
+        """Send a request and yield its replies up to the final one."""
+        request_id = next(self._request_ids)
+        replies: asyncio.Queue[Envelope | JayvalveError] = asyncio.Queue()
+        if not self._waiting:
+            self._last_received_s = self._clock.now()
+        self._waiting[request_id] = replies
+        try:
+            async with asyncio.timeout(timeout_s) as timer:
+                await self._send(request_id, message)
+                while True:
+                    envelope = await replies.get()
+                    if isinstance(envelope, JayvalveError):
+                        raise envelope
+                    self._raise_failure(envelope.message)
+                    yield envelope.message
+                    if envelope.is_final:
+                        return
+        except TimeoutError as error:
+            if not timer.expired():
+                raise
+            raise PeerUnavailableError(
+                f"{self._peer.instance} sent no complete answer within {timeout_s:.3f} s",
+                verdict=Verdict.MAY_HAVE_RUN,
+            ) from error
+        finally:
+            self._waiting.pop(request_id, None)
+
+    async def close(self) -> None:
+        """Close the connection; waiting requests fail."""
+        self._fail_all("connection closed")
+        self._stream.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    @staticmethod
+    def _raise_failure(message: Any) -> None:
+        if isinstance(message, Failure):
+            raise error_from_code(
+                message.code, message.message, Verdict(message.verdict), message.retry_after_s
+            )
+
+    async def _send(self, request_id: int, message: Any) -> None:
+        try:
+            await write_message(self._stream, request_id, message)
+        except StreamClosedError as error:
+            raise PeerUnavailableError(
+                f"connection to {self._peer.instance} is closed", verdict=Verdict.MAY_HAVE_RUN
+            ) from error
+
+    async def _read_replies(self) -> None:
+        try:
+            while True:
+                envelope = await read_envelope(self._stream)
+                self._last_received_s = self._clock.now()
+                replies = self._waiting.get(envelope.request_id)
+                # A reply to a request that was given up is dropped here, so that it can never
+                # reach another requester.
+                if replies is not None and envelope.is_reply:
+                    replies.put_nowait(envelope)
+        except (StreamClosedError, InvalidFrameError) as error:
+            self._stream.close()
+            self._fail_all(str(error))
+
+    async def _keep_alive(self) -> None:
+        sequence = 0
+        while not self.closed:
+            await asyncio.sleep(KEEPALIVE_INTERVAL_S)
+            if not self._waiting:
+                continue
+            if self._clock.now() - self._last_received_s > SILENCE_LIMIT_S:
+                self._stream.close()
+                self._fail_all(f"nothing received for {SILENCE_LIMIT_S} s")
+                return
+            sequence += 1
+            # Not awaited: a full send buffer must not stop the check for silence.
+            asyncio.ensure_future(self._send_keepalive(sequence))
+
+    async def _send_keepalive(self, sequence: int) -> None:
+        try:
+            await write_message(self._stream, 0, Heartbeat(sequence, "keepalive"))
+        except StreamClosedError:
+            return
+
+    def _fail_all(self, reason: str) -> None:
+        error_text = f"connection to {self._peer.instance} failed: {reason}"
+        for replies in self._waiting.values():
+            replies.put_nowait(PeerUnavailableError(error_text, verdict=Verdict.MAY_HAVE_RUN))
--- /dev/null
+++ b/src/jayvalve/internal/transport/server.py
@@ -0,0 +1,129 @@
+"""Server side of the connections between processes."""
+
+import asyncio
+import contextlib
+import inspect
+import ssl
+from typing import Any
+
+from loguru import logger
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpserver import TCPServer
+
+from jayvalve.errors import InternalError, InvalidFrameError, JayvalveError
+from jayvalve.internal.transport.framing import (
+    failure_from_error,
+    read_envelope,
+    write_reply,
+)
+from jayvalve.internal.transport.handlers import HandlerTable, PeerContext
+from jayvalve.internal.wire.messages import Hello
+
+__all__ = ["PeerServer"]
+
+HELLO_TIMEOUT_S = 5.0
+
+
+class PeerServer(TCPServer):
+    """Accepts connections of other processes and answers their messages.
+
+    Each connection has one reading task; each request runs in a task of its own, so that a
+    slow request does not hold up the next one on the same connection.
+    """
+
+    def __init__(
+        self,
+        identity: Hello,
+        handlers: HandlerTable,
+        ssl_options: ssl.SSLContext | None = None,
+    ) -> None:
+        super().__init__(ssl_options=ssl_options)
+        self._identity = identity
+        self._handler_table = handlers
+        self._streams: set[IOStream] = set()
+        self._log = logger.bind(part="peer")
+
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        return len(self._streams)
+
+    async def close(self) -> None:
+        """Stop accepting and close all connections."""
+        self.stop()
+        for stream in list(self._streams):
+            stream.close()
+
+    async def handle_stream(self, stream: IOStream, address: Any) -> None:
+        """Serve one connection until it ends."""
+        stream.set_nodelay(True)
+        self._streams.add(stream)
+        tasks: set[asyncio.Task[None]] = set()
+        try:
+            context = await self._exchange_hello(stream)
+            await self._read_requests(stream, context, tasks)
+        except StreamClosedError:
+            pass
+        except (InvalidFrameError, TimeoutError) as error:
+            self._log.warning("closed a connection from {}: {}", address, error)
+            await self._report_invalid_frame(stream, error)
+        finally:
+            self._streams.discard(stream)
+            stream.close()
+            for task in tasks:
+                task.cancel()
+
+    async def _report_invalid_frame(self, stream: IOStream, error: Exception) -> None:
+        reason = InvalidFrameError(str(error) or "no Hello in time")
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(
+                write_reply(stream, 0, failure_from_error(reason), final=True), HELLO_TIMEOUT_S
+            )
+
+    async def _exchange_hello(self, stream: IOStream) -> PeerContext:
+        envelope = await asyncio.wait_for(read_envelope(stream), HELLO_TIMEOUT_S)
+        if not isinstance(envelope.message, Hello):
+            raise InvalidFrameError("the first message must be Hello")
+        await write_reply(stream, envelope.request_id, self._identity, final=True)
+        return PeerContext(envelope.message)
+
+    async def _read_requests(
+        self, stream: IOStream, context: PeerContext, tasks: set[asyncio.Task[None]]
+    ) -> None:
+        while True:
+            envelope = await read_envelope(stream)
+            task = asyncio.ensure_future(
+                self._answer(stream, envelope.request_id, context, envelope.message)
+            )
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+
+    async def _answer(
+        self, stream: IOStream, request_id: int, context: PeerContext, message: Any
+    ) -> None:
+        try:
+            handler = self._handler_table.find(message)
+            if inspect.isasyncgenfunction(handler):
+                await self._answer_many(stream, request_id, handler(context, message))
+            else:
+                await write_reply(stream, request_id, await handler(context, message), final=True)
+        except JayvalveError as error:
+            await write_reply(stream, request_id, failure_from_error(error), final=True)
+        except Exception as error:
+            self._log.exception("handler of {} failed", type(message).__name__)
+            report = InternalError(f"{type(error).__name__} in the handler")
+            await write_reply(stream, request_id, failure_from_error(report), final=True)
+
+    async def _answer_many(self, stream: IOStream, request_id: int, replies: Any) -> None:
+        # The last reply carries the final flag, so each reply is held until the next is known.
+        async with contextlib.aclosing(replies):
+            previous = None
+            async for reply in replies:
+                if previous is not None:
+                    await write_reply(stream, request_id, previous, final=False)
+                previous = reply
+                if getattr(type(reply), "kind", "") == "completed":
+                    break
+            if previous is None:
+                raise InternalError("the handler gave no reply")
+            await write_reply(stream, request_id, previous, final=True)
--- a/src/jayvalve/internal/wire/__init__.py
+++ b/src/jayvalve/internal/wire/__init__.py
@@ -1,1 +1,21 @@
-"""Package wire."""
+"""Frames and typed messages between processes."""
+
+from jayvalve.internal.wire.codec import (
+    FLAG_FINAL,
+    FLAG_REPLY,
+    HEADER,
+    MAX_FRAME_BYTES,
+    Envelope,
+    decode,
+    encode,
+)
+
+__all__ = [
+    "FLAG_FINAL",
+    "FLAG_REPLY",
+    "HEADER",
+    "MAX_FRAME_BYTES",
+    "Envelope",
+    "decode",
+    "encode",
+]
--- /dev/null
+++ b/src/jayvalve/verdict.py
@@ -0,0 +1,18 @@
+"""Verdicts that say whether a request may have run."""
+
+import enum
+
+__all__ = ["Verdict"]
+
+
+class Verdict(enum.StrEnum):
+    """What is known about the execution of a request."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    MAY_HAVE_RUN = "may_have_run"
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether any request with this verdict may be sent again."""
+        return self is Verdict.NOT_RUN
