--- /dev/null
+++ b/src/jayvalve/internal/metrics.py
@@ -0,0 +1,149 @@
+"""Counters, gauges and histograms with Prometheus text output."""
+
+from collections.abc import Callable, Iterator
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["Histogram", "Metrics"]
+
+# Durations are recorded in microseconds, from 1 us to one hour, with 2 significant digits;
+# three digits would need 8 times the memory for each label set.
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+MICROSECONDS_PER_SECOND = 1_000_000
+QUANTILES = (50.0, 90.0, 95.0, 99.0)
+
+Labels = tuple[tuple[str, str], ...]
+
+
+class Histogram:
+    """Durations in seconds, kept in an HDR histogram."""
+
+    def __init__(self) -> None:
+        self._histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+        self._sum_s = 0.0
+
+    @property
+    def count(self) -> int:
+        """Number of recorded durations."""
+        return self._histogram.get_total_count()
+
+    @property
+    def sum_s(self) -> float:
+        """Sum of the recorded durations in seconds."""
+        return self._sum_s
+
+    def record(self, seconds: float) -> None:
+        """Add a duration; values outside the range count at its nearest end."""
+        microseconds = int(seconds * MICROSECONDS_PER_SECOND)
+        self._histogram.record_value(min(HIGHEST_US, max(LOWEST_US, microseconds)))
+        self._sum_s += seconds
+
+    def quantile_s(self, percent: float) -> float:
+        """Return the duration in seconds below which percent of the values lie."""
+        return self._histogram.get_value_at_percentile(percent) / MICROSECONDS_PER_SECOND
+
+    def count_below(self, seconds: float) -> int:
+        """Return how many recorded durations are at most that long."""
+        limit = int(seconds * MICROSECONDS_PER_SECOND)
+        return sum(
+            item.count_added_in_this_iter_step
+            for item in self._histogram.get_recorded_iterator()
+            if item.value_iterated_to <= limit
+        )
+
+    def encode(self) -> str:
+        """Return the histogram in the library's own base64 form, which others can merge."""
+        return self._histogram.encode().decode("ascii")
+
+    def merge_encoded(self, encoded: str) -> None:
+        """Add the counts of an encoded histogram."""
+        self._histogram.decode_and_add(encoded.encode("ascii"))
+
+
+@attrs.define
+class _Gauge:
+    read: Callable[[], float]
+    help: str
+
+
+class Metrics:
+    """Metrics of one process.
+
+    Names follow Prometheus: ``jayvalve_<part>_<what>_<unit>``.
+    """
+
+    def __init__(self) -> None:
+        self._counters: dict[str, dict[Labels, float]] = {}
+        self._histograms: dict[str, dict[Labels, Histogram]] = {}
+        self._gauges: dict[str, _Gauge] = {}
+
+    def count(self, name: str, amount: float = 1.0, **labels: str) -> None:
+        """Add to a counter."""
+        series = self._counters.setdefault(name, {})
+        key = tuple(sorted(labels.items()))
+        series[key] = series.get(key, 0.0) + amount
+
+    def counter(self, name: str, **labels: str) -> float:
+        """Return a counter's value, 0 if it was never counted."""
+        return self._counters.get(name, {}).get(tuple(sorted(labels.items())), 0.0)
+
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Record a duration in a histogram."""
+        self.histogram(name, **labels).record(seconds)
+
+    def histogram(self, name: str, **labels: str) -> Histogram:
+        """Return the histogram of this name and these labels, made on first use."""
+        series = self._histograms.setdefault(name, {})
+        key = tuple(sorted(labels.items()))
+        if key not in series:
+            series[key] = Histogram()
+        return series[key]
+
+    def gauge(self, name: str, read: Callable[[], float], help_text: str) -> None:
+        """Register a gauge that is read when the metrics are."""
+        self._gauges[name] = _Gauge(read, help_text)
+
+    def histograms(self) -> Iterator[tuple[str, dict[str, str], Histogram]]:
+        """Yield name, labels and histogram of each series."""
+        for name, series in sorted(self._histograms.items()):
+            for labels, histogram in sorted(series.items(), key=lambda item: item[0]):
+                yield name, dict(labels), histogram
+
+    def render(self) -> str:
+        """Return all metrics in the Prometheus text format 0.0.4."""
+        lines: list[str] = []
+        for name, counters in sorted(self._counters.items()):
+            lines.append(f"# TYPE {name} counter")
+            lines += [f"{name}{_labels(key)} {value:g}" for key, value in sorted(counters.items())]
+        for name, gauge in sorted(self._gauges.items()):
+            lines += [f"# HELP {name} {gauge.help}", f"# TYPE {name} gauge"]
+            lines.append(f"{name} {gauge.read():g}")
+        for name, series in sorted(self._histograms.items()):
+            lines.append(f"# TYPE {name} summary")
+            for key, histogram in sorted(series.items(), key=lambda item: item[0]):
+                lines += _summary_lines(name, key, histogram)
+        return "\n".join(lines) + "\n"
+
+
+def _escape(value: str) -> str:
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+
+
+def _labels(labels: Labels, **extra: str) -> str:
+    pairs = [*labels, *extra.items()]
+    if not pairs:
+        return ""
+    return "{" + ",".join(f'{name}="{_escape(value)}"' for name, value in pairs) + "}"
+
+
+def _summary_lines(name: str, labels: Labels, histogram: Histogram) -> list[str]:
+    lines = [
+        f"{name}{_labels(labels, quantile=f'{percent / 100:g}')} {histogram.quantile_s(percent):g}"
+        for percent in QUANTILES
+    ]
+    lines.append(f"{name}_sum{_labels(labels)} {histogram.sum_s:g}")
+    lines.append(f"{name}_count{_labels(labels)} {histogram.count}")
+    return lines
