--- /dev/null
+++ b/src/jayvalve/internal/entry/answers.py
@@ -0,0 +1,110 @@
+"""Reading of OpenAI-compatible answers, whole and as server-sent events."""
+
+import json
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+
+__all__ = ["AnswerSummary", "EventSplitter", "summarize"]
+
+EVENT_END = b"\n\n"
+DONE_EVENT = b"data: [DONE]"
+
+
+class EventSplitter:
+    """Cuts a stream of server-sent events into whole events and holds back the last one.
+
+    The ``[DONE]`` event tells the caller that the answer is whole, so it may go out only
+    after the turn has been replicated.
+    """
+
+    def __init__(self) -> None:
+        self._pending = b""
+        self._done = b""
+
+    @property
+    def done_event(self) -> bytes:
+        """The held ``[DONE]`` event, empty until it has arrived."""
+        return self._done
+
+    @property
+    def incomplete(self) -> bool:
+        """Whether bytes of an unfinished event are pending."""
+        return bool(self._pending)
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the whole events that may be passed on now."""
+        text = self._pending + data
+        cut = text.rfind(EVENT_END)
+        if cut < 0:
+            self._pending = text
+            return b""
+        ready, self._pending = text[: cut + len(EVENT_END)], text[cut + len(EVENT_END) :]
+        start = ready.find(DONE_EVENT)
+        if start < 0 or (start > 0 and ready[start - 1 : start] != b"\n"):
+            return ready
+        self._done += ready[start:]
+        return ready[:start]
+
+
+@attrs.frozen
+class AnswerSummary:
+    """What a program keeps of a model's answer.
+
+    Attributes:
+        message: The assistant's message, or None if the body holds none.
+        total_tokens: Prompt and completion tokens; 0 if the engine did not say.
+        completion_tokens: Generated tokens, counted from the events if not stated.
+    """
+
+    message: dict[str, Any] | None
+    total_tokens: int = 0
+    completion_tokens: int = 0
+
+
+def summarize(body: bytes, stream: bool) -> AnswerSummary:
+    """Return the summary of a whole body; an unreadable one gives an empty summary."""
+    return _summarize_events(body) if stream else _summarize_document(body)
+
+
+def _summarize_document(body: bytes) -> AnswerSummary:
+    try:
+        document = json.loads(body)
+        message = document["choices"][0]["message"]
+        usage = document.get("usage") or {}
+        return AnswerSummary(
+            message, int(usage.get("total_tokens", 0)), int(usage.get("completion_tokens", 0))
+        )
+    except (ValueError, KeyError, IndexError, TypeError, AttributeError):
+        return AnswerSummary(None)
+
+
+def _events(body: bytes) -> Iterator[dict[str, Any]]:
+    for line in body.split(b"\n"):
+        if not line.startswith(b"data: {"):
+            continue
+        try:
+            yield json.loads(line[len(b"data: ") :])
+        except ValueError:
+            continue
+
+
+def _summarize_events(body: bytes) -> AnswerSummary:
+    content: list[str] = []
+    extra: dict[str, Any] = {}
+    total = completion = 0
+    for event in _events(body):
+        usage = event.get("usage") or {}
+        total = int(usage.get("total_tokens", total))
+        completion = int(usage.get("completion_tokens", completion))
+        for choice in event.get("choices") or []:
+            delta = choice.get("delta") or {}
+            if isinstance(delta.get("content"), str):
+                content.append(delta["content"])
+            if delta.get("tool_calls"):
+                extra.setdefault("tool_calls", []).extend(delta["tool_calls"])
+    if not content and not extra:
+        return AnswerSummary(None, total, completion)
+    message = {"role": "assistant", "content": "".join(content), **extra}
+    return AnswerSummary(message, total, completion or len(content))
--- /dev/null
+++ b/src/jayvalve/internal/entry/authentication.py
@@ -0,0 +1,50 @@
+"""Tokens of callers, kept as salted hashes."""
+
+import hashlib
+import hmac
+import secrets
+from collections.abc import Iterable
+
+from jayvalve.errors import UnauthorizedError
+from jayvalve.internal.settings import CallerToken
+
+__all__ = ["DEFAULT_ORGANISATION", "TokenTable", "hash_token"]
+
+DEFAULT_ORGANISATION = "default"
+SALT_BYTES = 16
+
+
+def hash_token(organisation: str, token: str, salt: str | None = None) -> CallerToken:
+    """Return the settings entry for a token; a fresh salt is drawn if none is given.
+
+    Tokens are long random strings, so one round of SHA-256 is enough.
+    """
+    chosen = salt if salt is not None else secrets.token_hex(SALT_BYTES)
+    digest = hashlib.sha256(bytes.fromhex(chosen) + token.encode()).hexdigest()
+    return CallerToken(organisation, chosen, digest)
+
+
+class TokenTable:
+    """Maps bearer tokens to organisations."""
+
+    def __init__(self, callers: Iterable[CallerToken]) -> None:
+        self._callers = list(callers)
+
+    def organisation(self, authorization: str | None) -> str:
+        """Return the organisation of an Authorization header.
+
+        Without configured callers everyone belongs to DEFAULT_ORGANISATION.
+
+        Raises:
+            UnauthorizedError: the header is missing or its token is unknown.
+        """
+        if not self._callers:
+            return DEFAULT_ORGANISATION
+        scheme, _, token = (authorization or "").partition(" ")
+        if scheme.lower() != "bearer" or not token:
+            raise UnauthorizedError("a bearer token is required")
+        for caller in self._callers:
+            candidate = hash_token(caller.organisation, token.strip(), caller.salt)
+            if hmac.compare_digest(candidate.hash, caller.hash):
+                return caller.organisation
+        raise UnauthorizedError("the bearer token is unknown")
--- /dev/null
+++ b/src/jayvalve/internal/entry/commands.py
@@ -0,0 +1,38 @@
+"""Handlers of requests that change something."""
+
+from jayvalve.internal.entry.http import CallerHandler
+
+__all__ = ["ChatCompletionsHandler", "EndProgramHandler", "ServiceHandler", "StartProgramHandler"]
+
+
+class ChatCompletionsHandler(CallerHandler):
+    """``POST /v1/chat/completions``."""
+
+    async def post(self) -> None:
+        """Run a chat completion as a call of a program."""
+        await self.relay()
+
+
+class ServiceHandler(CallerHandler):
+    """Any method on ``/v1/services/{service}/{path}``."""
+
+    async def _relay(self, *_: str) -> None:
+        await self.relay()
+
+    get = post = put = patch = delete = _relay
+
+
+class StartProgramHandler(CallerHandler):
+    """``POST /v1/programs``."""
+
+    async def post(self) -> None:
+        """Start a program and state its budget and rank."""
+        await self.relay()
+
+
+class EndProgramHandler(CallerHandler):
+    """``POST /v1/programs/{id}/end``."""
+
+    async def post(self, program: str) -> None:
+        """End a program and free what it holds."""
+        await self.relay()
--- /dev/null
+++ b/src/jayvalve/internal/entry/http.py
@@ -0,0 +1,129 @@
+"""HTTP front of an entry: request handlers shared by commands and queries."""
+
+import contextlib
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+from loguru import logger
+from tornado.iostream import StreamClosedError
+from tornado.web import RequestHandler
+
+from jayvalve.errors import InternalError, InvalidRequestError, JayvalveError
+from jayvalve.internal.entry.authentication import TokenTable
+from jayvalve.internal.entry.request import HEADER_NAMES
+from jayvalve.internal.wire.messages import Chunk, Completed, Forward, ResponseHead
+
+__all__ = ["CallerHandler", "ErrorHandler", "Serve"]
+
+Serve = Callable[[Forward], AsyncIterator[ResponseHead | Chunk | Completed]]
+Announce = Callable[[], Awaitable[None]]
+
+_log = logger.bind(part="http")
+
+
+class ErrorHandler(RequestHandler):
+    """Writes every error in the JSON shape that callers know."""
+
+    def set_default_headers(self) -> None:
+        """Leave out the server's name and version."""
+        self.clear_header("Server")
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Turn an exception into an error document."""
+        error = kwargs.get("exc_info", (None, None))[1]
+        if not isinstance(error, JayvalveError):
+            error = _http_error(status_code, error)
+        self.write_failure(error)
+
+    def write_failure(self, error: JayvalveError) -> None:
+        """Send an error document with its status and headers."""
+        self.set_status(error.status)
+        self.set_header("Jayvalve-Verdict", str(error.verdict))
+        if error.retry_after_s is not None:
+            self.set_header("Retry-After", str(max(1, round(error.retry_after_s))))
+        self.finish(error.as_document())
+
+    def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
+        """Log only unexpected exceptions with a traceback."""
+        if isinstance(value, JayvalveError):
+            _log.debug("refused {} {}: {}", self.request.method, self.request.path, value.code)
+        else:
+            super().log_exception(typ, value, tb)
+
+
+def _http_error(status_code: int, error: Any) -> JayvalveError:
+    if status_code < 500:
+        failure: JayvalveError = InvalidRequestError(f"HTTP {status_code}")
+        failure.status = status_code  # type: ignore[misc]
+        return failure
+    return InternalError(f"{type(error).__name__} in the request handler")
+
+
+class CallerHandler(ErrorHandler):
+    """Base of the handlers for callers: authenticates, serves and streams the answer."""
+
+    def initialize(self, tokens: TokenTable, serve: Serve) -> None:
+        """Receive what all requests share."""
+        self._tokens = tokens
+        self._serve = serve
+        self._answer: AsyncIterator[Any] | None = None
+        self._client_gone = False
+
+    def on_connection_close(self) -> None:
+        """Note that nobody waits for the answer any more."""
+        self._client_gone = True
+
+    async def relay(self) -> None:
+        """Serve the request through the owner of its program and stream the answer."""
+        organisation = self._tokens.organisation(self.request.headers.get("Authorization"))
+        headers = {
+            name: self.request.headers[name]
+            for name in HEADER_NAMES
+            if name in self.request.headers
+        }
+        forward = Forward(
+            self.request.method or "GET",
+            self.request.path,
+            headers,
+            self.request.body,
+            organisation,
+            0,
+        )
+        async with contextlib.aclosing(self._serve(forward)) as answer:
+            await self._write_answer(answer)
+
+    async def _write_answer(self, answer: AsyncIterator[Any]) -> None:
+        written = False
+        try:
+            async for part in answer:
+                if isinstance(part, ResponseHead):
+                    self._write_head(part)
+                elif isinstance(part, Chunk):
+                    self.write(part.data)
+                    await self.flush()
+                    written = True
+                else:
+                    await self.finish()
+                    return
+        except StreamClosedError:
+            return
+        except JayvalveError as error:
+            if not written:
+                raise
+            self._cut_answer(error)
+
+    def _write_head(self, head: ResponseHead) -> None:
+        self.set_status(head.status)
+        for name, value in head.headers.items():
+            self.set_header(name, value)
+
+    def _cut_answer(self, error: JayvalveError) -> None:
+        # The status line has gone out. A stream ends with an explicit error event; a whole
+        # answer loses its connection, so that a part is never taken for the whole.
+        content_type = self._headers.get("Content-Type", "")
+        if content_type.startswith("text/event-stream"):
+            self.write(b"data: " + json.dumps(error.as_document()).encode() + b"\n\n")
+            self.finish()
+        elif self.request.connection is not None:
+            self.request.connection.stream.close()  # type: ignore[attr-defined]
--- /dev/null
+++ b/src/jayvalve/internal/runtime.py
@@ -0,0 +1,166 @@
+"""What an entry and a sidecar have in common: connections, membership, HTTP, tasks."""
+
+import asyncio
+import contextlib
+import socket
+import ssl
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+from loguru import logger
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+
+from jayvalve.internal.membership import (
+    Detector,
+    HeartbeatSource,
+    InstanceListPoller,
+    MembershipView,
+)
+from jayvalve.internal.metrics import Metrics
+from jayvalve.internal.settings import Settings
+from jayvalve.internal.timing import Clock
+from jayvalve.internal.transport import HandlerTable, PeerPool, PeerServer
+from jayvalve.internal.wire.messages import Hello
+
+__all__ = ["Runtime"]
+
+# Large enough that a process restarted at once gets a higher number.
+INCARNATION_RESOLUTION_PER_S = 1000
+LIVE = "live"
+DRAINING = "draining"
+LISTEN_BACKLOG = 1024
+
+
+def _bind(address: str) -> tuple[list[socket.socket], str]:
+    host, _, port = address.rpartition(":")
+    sockets = bind_sockets(int(port), host, backlog=LISTEN_BACKLOG)
+    return sockets, f"{host}:{sockets[0].getsockname()[1]}"
+
+
+class Runtime:
+    """Owns the sockets, connections, membership and background tasks of one process.
+
+    Register handlers for peer messages on `handlers` before `open` is called.
+    """
+
+    def __init__(self, settings: Settings, role: str, clock: Clock | None = None) -> None:
+        self._settings = settings
+        self._role = role
+        self._clock = clock or Clock()
+        self._state = LIVE
+        self._stack = contextlib.AsyncExitStack()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._log = logger.bind(part=role, instance=settings.instance)
+        self._peer_sockets, peer_address = _bind(settings.peer_address)
+        self._http_sockets, self._http_address = _bind(settings.http_address)
+        self._identity = Hello(
+            settings.instance,
+            int(time.time() * INCARNATION_RESOLUTION_PER_S),
+            role,
+            settings.data_centre,
+            peer_address,
+        )
+        self.handlers = HandlerTable()
+        self.metrics = Metrics()
+        self.view = MembershipView(self._identity)
+        self.pool = PeerPool(self._identity, self._clock)
+
+    @property
+    def settings(self) -> Settings:
+        """Settings of this process."""
+        return self._settings
+
+    @property
+    def clock(self) -> Clock:
+        """Clock of this process."""
+        return self._clock
+
+    @property
+    def identity(self) -> Hello:
+        """How this process introduces itself."""
+        return self._identity
+
+    @property
+    def http_address(self) -> str:
+        """IP address and port of the HTTP server."""
+        return self._http_address
+
+    @property
+    def state(self) -> str:
+        """``live`` or ``draining``."""
+        return self._state
+
+    @property
+    def draining(self) -> bool:
+        """Whether a planned stop is under way."""
+        return self._state == DRAINING
+
+    async def open(
+        self,
+        application: Application,
+        source: HeartbeatSource,
+        listener: Any = None,
+        ssl_options: ssl.SSLContext | None = None,
+    ) -> None:
+        """Start the servers, the failure detector and the instance list poller."""
+        detector = Detector(
+            self._identity,
+            self.view,
+            self.pool,
+            self._clock,
+            source=source,
+            seeds=self._settings.seeds,
+            listener=listener,
+        )
+        detector.register(self.handlers)
+        self._stack.push_async_callback(self.pool.close)
+        server = PeerServer(self._identity, self.handlers)
+        server.add_sockets(self._peer_sockets)
+        self._stack.push_async_callback(server.close)
+        http_server = HTTPServer(
+            application,
+            ssl_options=ssl_options,
+            max_body_size=self._settings.max_body_bytes,
+            xheaders=False,
+        )
+        http_server.add_sockets(self._http_sockets)
+        self._stack.push_async_callback(http_server.close_all_connections)
+        self._stack.callback(http_server.stop)
+        self._stack.push_async_callback(self._cancel_tasks)
+        self.spawn(detector.run())
+        if self._settings.instance_list_url is not None:
+            url = f"{self._settings.instance_list_url}/instances"
+            self.spawn(InstanceListPoller(url, self.view, self._clock).run())
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run work in a task that ends with this process; its failure is logged."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+        return task
+
+    def start_draining(self) -> None:
+        """Tell everybody, through heartbeats and /healthz, that this process is leaving."""
+        self._state = DRAINING
+        self._log.info("draining")
+
+    async def close(self) -> None:
+        """Release everything in reverse order."""
+        await self._stack.aclose()
+        for bound in (*self._peer_sockets, *self._http_sockets):
+            with contextlib.suppress(OSError):
+                bound.close()
+
+    def _finish(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._log.opt(exception=task.exception()).error("background task failed")
+
+    async def _cancel_tasks(self) -> None:
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
