Add the model of a continuously batching engine

Experiments and the HTTP stand-in need the same engine behaviour, one in virtual and one in real time. ContinuousBatchEngine takes the time as an argument and keeps decoding as one shared progress, so that a call costs a few heap operations unless each token is asked for.

--- /dev/null
+++ b/src/jayvalve/standins/batching.py
@@ -0,0 +1,299 @@
+"""Model of an engine with continuous batching, without I/O and with time as an argument."""
+
+import heapq
+import math
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+import attrs
+
+from jayvalve.errors import InvalidSettingsError
+from jayvalve.standins.prefix_cache import CacheEvent, PrefixCache
+
+__all__ = ["FINISHED", "FIRST_TOKEN", "TOKEN", "ContinuousBatchEngine", "EngineCall", "EngineEvent"]
+
+FIRST_TOKEN = "first_token"
+TOKEN = "token"
+FINISHED = "finished"
+
+
+class EngineEvent(NamedTuple):
+    """What happened to a call; index is the number of tokens produced before the event."""
+
+    at_s: float
+    kind: str
+    call_id: str
+    index: int
+
+
+@attrs.define
+class EngineCall:
+    """One generation.
+
+    Attributes:
+        call_id: Unique name of the call.
+        program: Program that the cached blocks are held for.
+        blocks: Block hashes of the prompt.
+        prompt_tokens: Length of the prompt in tokens.
+        output_tokens: Number of tokens to generate, at least 1.
+        priority: Place in the engine's queue; lower numbers go first.
+        final_blocks: Block hashes of prompt and answer, held after the end, or None.
+        cached_tokens: Prompt tokens found in the cache, set when the call is admitted.
+
+    """
+
+    call_id: str
+    program: str
+    blocks: Sequence[int]
+    prompt_tokens: int
+    output_tokens: int
+    priority: int = 0
+    final_blocks: Sequence[int] | None = None
+    cached_tokens: int = 0
+
+
+@attrs.define(eq=False)
+class _Sequence:
+    call: EngineCall
+    produced: int = 0
+    start_progress: float = 0.0
+    waiting: bool = True
+    cancelled: bool = False
+
+
+class ContinuousBatchEngine:
+    """Runs up to max_running sequences at once; further calls wait in priority order.
+
+    Prompts are prefilled one after the other at prefill_tokens_per_s. All decoding sequences
+    advance at the same rate, decode_tokens_per_s / (1 + batch_slowdown * (batch - 1)).
+    Decoding is kept as one shared progress in tokens, so that a call costs a few heap
+    operations whatever its length, unless token_events asks for each token.
+    """
+
+    def __init__(
+        self,
+        *,
+        max_running: int = 32,
+        prefill_tokens_per_s: float = 8000.0,
+        decode_tokens_per_s: float = 60.0,
+        batch_slowdown: float = 0.02,
+        cache_tokens: int = 200_000,
+        token_events: bool = False,
+    ) -> None:
+        if max_running < 1 or min(prefill_tokens_per_s, decode_tokens_per_s) <= 0:
+            raise ValueError("max_running, prefill and decode rates must be positive")
+        self._max_running = max_running
+        self._prefill_rate = prefill_tokens_per_s
+        self._decode_rate = decode_tokens_per_s
+        self._slowdown = batch_slowdown
+        self._token_events = token_events
+        self._cache = PrefixCache(cache_tokens)
+        self._now = 0.0
+        self._progress = 0.0
+        self._order = 0
+        self._queue: list[tuple[int, int, _Sequence]] = []
+        self._waiting = 0
+        self._running = 0
+        self._decoding = 0
+        self._prefill: list[tuple[int, int, _Sequence]] = []
+        self._prefilling: _Sequence | None = None
+        self._prefill_end_s = math.inf
+        self._decode: list[tuple[float, int, _Sequence]] = []
+        self._calls: dict[str, _Sequence] = {}
+
+    @classmethod
+    def from_config(cls, config: Mapping[str, object]) -> "ContinuousBatchEngine":
+        """Build an engine from the constructor's arguments; bad ones raise InvalidSettingsError."""
+        try:
+            return cls(**config)  # type: ignore[arg-type]
+        except (TypeError, ValueError) as error:
+            raise InvalidSettingsError(f"engine settings: {error}") from error
+
+    @property
+    def running(self) -> int:
+        """Sequences in the batch, including those in prefill."""
+        return self._running
+
+    @property
+    def waiting(self) -> int:
+        """Calls not yet admitted to the batch."""
+        return self._waiting
+
+    @property
+    def max_running(self) -> int:
+        """Largest batch."""
+        return self._max_running
+
+    @property
+    def cache(self) -> PrefixCache:
+        """The prefix cache with its counters."""
+        return self._cache
+
+    @property
+    def sequence_tokens_per_s(self) -> float:
+        """Rate at which each decoding sequence advances now."""
+        return self._decode_rate / (1 + self._slowdown * max(0, self._decoding - 1))
+
+    @property
+    def next_event_s(self) -> float:
+        """Time of the next internal event, infinite when idle."""
+        return min(self._prefill_end_s, self._next_decode_s())
+
+    def submit(self, call: EngineCall, now: float) -> list[EngineEvent]:
+        """Add a call; return the events up to now."""
+        if call.call_id in self._calls:
+            raise ValueError(f"call {call.call_id!r} is already in the engine")
+        if call.output_tokens < 1:
+            raise ValueError(f"output_tokens={call.output_tokens} must be at least 1")
+        events = self.advance(now)
+        sequence = _Sequence(call)
+        self._calls[call.call_id] = sequence
+        self._order += 1
+        heapq.heappush(self._queue, (call.priority, self._order, sequence))
+        self._waiting += 1
+        self._admit()
+        return events
+
+    def cancel(self, call_id: str, now: float) -> bool:
+        """Remove a call; return False if it has ended or is unknown.
+
+        Events due before now stay due: time moves at most to the next of them, so that the
+        following advance returns them.
+        """
+        sequence = self._calls.pop(call_id, None)
+        if sequence is None:
+            return False
+        self._catch_up(min(now, self.next_event_s))
+        sequence.cancelled = True
+        if sequence.waiting:
+            self._waiting -= 1
+            return True
+        self._running -= 1
+        if sequence is self._prefilling:
+            self._prefilling = None
+            self._prefill_end_s = math.inf
+            self._start_prefill()
+        elif sequence.produced:
+            self._decoding -= 1
+        self._admit()
+        return True
+
+    def advance(self, now: float) -> list[EngineEvent]:
+        """Move to time now and return the events since the last call, in order."""
+        events: list[EngineEvent] = []
+        while True:
+            decode_s = self._next_decode_s()
+            if min(decode_s, self._prefill_end_s) > now:
+                break
+            if self._prefill_end_s <= decode_s:
+                self._finish_prefill(events)
+            else:
+                self._decode_step(decode_s, events)
+        self._catch_up(now)
+        return events
+
+    def export(self, program: str) -> list[int]:
+        """Return the block hashes held for program."""
+        return self._cache.export(program)
+
+    def import_blocks(self, program: str, blocks: Sequence[int], now: float) -> None:
+        """Hold blocks that another engine exported."""
+        self._cache.store(program, blocks, now)
+
+    def release(self, program: str, now: float) -> int:
+        """Free the program's blocks; return the tokens freed."""
+        return self._cache.release(program, now)
+
+    def cache_events(self, start: int, until_s: float) -> list[CacheEvent]:
+        """Return cache events numbered start or higher that happened by until_s."""
+        return self._cache.events(start, until_s)
+
+    def _next_decode_s(self) -> float:
+        while self._decode and self._decode[0][2].cancelled:
+            heapq.heappop(self._decode)
+        if not self._decode:
+            return math.inf
+        remaining = max(0.0, self._decode[0][0] - self._progress)
+        return self._now + remaining / self.sequence_tokens_per_s
+
+    def _catch_up(self, now: float) -> None:
+        if now > self._now:
+            if self._decoding:
+                self._progress += (now - self._now) * self.sequence_tokens_per_s
+            self._now = now
+
+    def _admit(self) -> None:
+        while self._queue and self._running < self._max_running:
+            _, order, sequence = heapq.heappop(self._queue)
+            if sequence.cancelled:
+                continue
+            sequence.waiting = False
+            self._waiting -= 1
+            self._running += 1
+            heapq.heappush(self._prefill, (sequence.call.priority, order, sequence))
+        if self._prefilling is None:
+            self._start_prefill()
+
+    def _start_prefill(self) -> None:
+        while self._prefill:
+            sequence = heapq.heappop(self._prefill)[2]
+            if sequence.cancelled:
+                continue
+            call = sequence.call
+            call.cached_tokens = self._cache.match(call.blocks)
+            # The last prompt token is always computed, since it yields the first output token.
+            missing = max(1, call.prompt_tokens - call.cached_tokens)
+            self._prefilling = sequence
+            self._prefill_end_s = self._now + missing / self._prefill_rate
+            return
+
+    def _finish_prefill(self, events: list[EngineEvent]) -> None:
+        sequence = self._prefilling
+        self._catch_up(self._prefill_end_s)
+        self._prefilling = None
+        self._prefill_end_s = math.inf
+        if sequence is not None:
+            call = sequence.call
+            self._cache.store(call.program, call.blocks, self._now)
+            sequence.produced = 1
+            sequence.start_progress = self._progress
+            events.append(EngineEvent(self._now, FIRST_TOKEN, call.call_id, 0))
+            self._decoding += 1
+            if call.output_tokens == 1:
+                self._finish(sequence, events)
+            else:
+                self._schedule(sequence)
+        self._admit()
+
+    def _schedule(self, sequence: _Sequence) -> None:
+        last = sequence.call.output_tokens
+        target = sequence.produced + 1 if self._token_events else last
+        self._order += 1
+        entry = (sequence.start_progress + target - 1, self._order, sequence)
+        heapq.heappush(self._decode, entry)
+
+    def _decode_step(self, at_s: float, events: list[EngineEvent]) -> None:
+        progress, _, sequence = heapq.heappop(self._decode)
+        self._now = max(self._now, at_s)
+        self._progress = progress
+        call = sequence.call
+        if not self._token_events:
+            sequence.produced = call.output_tokens
+            self._finish(sequence, events)
+        else:
+            events.append(EngineEvent(self._now, TOKEN, call.call_id, sequence.produced))
+            sequence.produced += 1
+            if sequence.produced >= call.output_tokens:
+                self._finish(sequence, events)
+            else:
+                self._schedule(sequence)
+        self._admit()
+
+    def _finish(self, sequence: _Sequence, events: list[EngineEvent]) -> None:
+        call = sequence.call
+        del self._calls[call.call_id]
+        self._running -= 1
+        self._decoding -= 1
+        if call.final_blocks is not None:
+            self._cache.store(call.program, call.final_blocks, self._now)
+        events.append(EngineEvent(self._now, FINISHED, call.call_id, call.output_tokens))
--- /dev/null
+++ b/src/jayvalve/standins/prefix_cache.py
@@ -0,0 +1,136 @@
+"""Bounded prefix cache of one engine, with an event for each change."""
+
+from collections import OrderedDict, deque
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from jayvalve.standins.tokens import BLOCK_TOKENS
+
+__all__ = ["CacheEvent", "PrefixCache"]
+
+EVENTS_KEPT = 10_000
+# Bounds the memory of evicted hashes, which exists only to tell rebuilt tokens from new ones.
+EVICTED_HASHES_KEPT = 1_000_000
+
+
+class CacheEvent(NamedTuple):
+    """One change of the cache; sequence numbers increase by one."""
+
+    sequence: int
+    at_s: float
+    kind: str
+    program: str
+    blocks: tuple[int, ...]
+
+
+class PrefixCache:
+    """LRU cache of block hashes that knows which programs use each block.
+
+    Blocks of a running sequence are not pinned: a cache smaller than the running sequences
+    evicts their blocks, as if the engine preempted them.
+    """
+
+    def __init__(self, capacity_tokens: int) -> None:
+        self._capacity_blocks = capacity_tokens // BLOCK_TOKENS
+        self._blocks: OrderedDict[int, set[str]] = OrderedDict()
+        self._programs: dict[str, set[int]] = {}
+        self._evicted: OrderedDict[int, None] = OrderedDict()
+        self._events: deque[CacheEvent] = deque(maxlen=EVENTS_KEPT)
+        self._next_sequence = 0
+        self.cached_tokens = 0
+        self.rebuilt_tokens = 0
+        self.evicted_tokens = 0
+
+    @property
+    def tokens(self) -> int:
+        """Tokens held now."""
+        return len(self._blocks) * BLOCK_TOKENS
+
+    @property
+    def programs(self) -> dict[str, int]:
+        """Tokens held for each program; shared blocks count for each of their programs."""
+        return {name: len(blocks) * BLOCK_TOKENS for name, blocks in self._programs.items()}
+
+    def match(self, blocks: Sequence[int]) -> int:
+        """Return the number of leading tokens held, and count cached and rebuilt tokens."""
+        held = 0
+        for block in blocks:
+            if block not in self._blocks:
+                break
+            held += 1
+        rebuilt = sum(block in self._evicted for block in blocks[held:])
+        self.cached_tokens += held * BLOCK_TOKENS
+        self.rebuilt_tokens += rebuilt * BLOCK_TOKENS
+        return held * BLOCK_TOKENS
+
+    def store(self, program: str, blocks: Sequence[int], now: float) -> None:
+        """Hold blocks for program, and evict the least recently used ones if needed."""
+        owned = self._programs.setdefault(program, set())
+        added: list[int] = []
+        # Touches the last block first, so that a prefix is evicted from its end.
+        for block in reversed(blocks):
+            users = self._blocks.get(block)
+            if users is None:
+                users = self._blocks[block] = set()
+                self._evicted.pop(block, None)
+                added.append(block)
+            else:
+                self._blocks.move_to_end(block)
+            users.add(program)
+            owned.add(block)
+        if added:
+            self._emit("stored", program, added[::-1], now)
+        self._evict(now)
+        if program in self._programs and not self._programs[program]:
+            del self._programs[program]
+
+    def export(self, program: str) -> list[int]:
+        """Return the block hashes held for program, least recently used last."""
+        owned = self._programs.get(program, set())
+        return [block for block in reversed(self._blocks) if block in owned]
+
+    def release(self, program: str, now: float) -> int:
+        """Drop the blocks that only program uses; return the tokens freed."""
+        removed = []
+        for block in self._programs.pop(program, ()):
+            users = self._blocks[block]
+            users.discard(program)
+            if not users:
+                del self._blocks[block]
+                removed.append(block)
+        if removed:
+            self._emit("removed", program, removed, now)
+        return len(removed) * BLOCK_TOKENS
+
+    def clear(self, now: float) -> None:
+        """Drop everything, as an engine does that loads another model."""
+        for program in list(self._programs):
+            self.release(program, now)
+
+    def events(self, start: int, until_s: float) -> list[CacheEvent]:
+        """Return the kept events numbered start or higher that happened by until_s."""
+        if start >= self._next_sequence:
+            return []
+        return [e for e in self._events if e.sequence >= start and e.at_s <= until_s]
+
+    def _evict(self, now: float) -> None:
+        removed = []
+        while len(self._blocks) > self._capacity_blocks:
+            block, users = self._blocks.popitem(last=False)
+            for program in users:
+                owned = self._programs[program]
+                owned.discard(block)
+                if not owned:
+                    del self._programs[program]
+            self._evicted[block] = None
+            removed.append(block)
+        while len(self._evicted) > EVICTED_HASHES_KEPT:
+            self._evicted.popitem(last=False)
+        if removed:
+            self.evicted_tokens += len(removed) * BLOCK_TOKENS
+            self._emit("removed", "", removed, now)
+
+    def _emit(self, kind: str, program: str, blocks: list[int], now: float) -> None:
+        event = CacheEvent(self._next_sequence, now, kind, program, tuple(blocks))
+        self._events.append(event)
+        self._next_sequence += 1
