--- /dev/null
+++ b/src/jayvalve/standins/faults.py
@@ -0,0 +1,71 @@
+"""Faults that a stand-in shows on command."""
+
+import enum
+
+import attrs
+
+from jayvalve.errors import InvalidRequestError
+from jayvalve.internal.timing import Clock
+from jayvalve.internal.validation import check_range, check_type
+
+__all__ = ["FaultMode", "FaultSwitch"]
+
+DEFAULT_SLOW_DELAY_S = 1.0
+MAX_FAULT_S = 86_400.0
+
+
+class FaultMode(enum.StrEnum):
+    """Ways in which a stand-in fails.
+
+    DOWN closes the connection before the request takes effect, SLOW delays the request,
+    LOSE_ANSWERS lets it take effect and closes the connection instead of answering, HANG
+    keeps the connection open and does nothing.
+    """
+
+    NONE = "none"
+    DOWN = "down"
+    SLOW = "slow"
+    LOSE_ANSWERS = "lose_answers"
+    HANG = "hang"
+
+
+@attrs.define
+class FaultSwitch:
+    """The fault in force, limited by time, by a number of requests, or by neither."""
+
+    clock: Clock
+    mode: FaultMode = FaultMode.NONE
+    delay_s: float = DEFAULT_SLOW_DELAY_S
+    _until_s: float | None = None
+    _remaining: int | None = None
+
+    def set(self, document: object) -> None:
+        """Apply the body of POST /faults: mode, and optionally seconds, count, delay_s."""
+        fields = check_type(dict, document, "body")
+        try:
+            mode = FaultMode(fields.get("mode"))
+        except ValueError as error:
+            raise InvalidRequestError(f"mode: {error}") from None
+        seconds, count = fields.get("seconds"), fields.get("count")
+        if seconds is not None:
+            check_range(seconds, "seconds", 0.0, MAX_FAULT_S)
+        if count is not None:
+            check_range(check_type(int, count, "count"), "count", 0, 1_000_000)
+        self.delay_s = check_range(
+            fields.get("delay_s", DEFAULT_SLOW_DELAY_S), "delay_s", 0.0, MAX_FAULT_S
+        )
+        self.mode = mode
+        self._until_s = None if seconds is None else self.clock.now() + seconds
+        self._remaining = count
+
+    def take(self) -> FaultMode:
+        """Return the fault that the next request meets, and count the request."""
+        if self._until_s is not None and self.clock.now() >= self._until_s:
+            self.mode = FaultMode.NONE
+        if self.mode is FaultMode.NONE or self._remaining is None:
+            return self.mode
+        if self._remaining <= 0:
+            self.mode = FaultMode.NONE
+            return self.mode
+        self._remaining -= 1
+        return self.mode
--- /dev/null
+++ b/src/jayvalve/standins/model_engine.py
@@ -0,0 +1,284 @@
+"""Stand-in of a model engine behind the OpenAI protocol."""
+
+import asyncio
+import contextlib
+import math
+from collections import OrderedDict, deque
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from jayvalve.errors import InvalidRequestError
+from jayvalve.internal.timing import Clock
+from jayvalve.internal.validation import check_identifier, check_range, check_type
+from jayvalve.standins.answers import answer_tokens
+from jayvalve.standins.batching import (
+    FINISHED,
+    ContinuousBatchEngine,
+    EngineCall,
+    EngineEvent,
+)
+from jayvalve.standins.generation import Generation
+from jayvalve.standins.model_handlers import ROUTES
+from jayvalve.standins.registry import STAND_INS
+from jayvalve.standins.server import StandIn, checked_settings
+from jayvalve.standins.tokens import block_hashes, render_messages, split_tokens
+
+__all__ = ["ModelEngine", "ModelEngineSettings"]
+
+DEFAULT_ANSWER_TOKENS = 16
+MAX_ANSWER_TOKENS = 8192
+MAX_PRIORITY = 1_000_000
+# Ended streams stay readable for a resume; the number bounds their memory.
+ENDED_GENERATIONS_KEPT = 1000
+ACTIONS = ("load", "unload", "role")
+
+
+def _non_negative(default: float) -> Any:
+    return attrs.field(default=default, validator=attrs.validators.ge(0))
+
+
+@attrs.frozen
+class ModelEngineSettings:
+    """Settings of one engine.
+
+    Attributes:
+        models: Models loaded at the start.
+        role: Role at the start, changed by the order "role".
+        checks_fencing: Whether orders with an old fencing number are refused.
+        load_lag_s: Age of the figures in GET /load.
+        events_lag_s: Delay before a cache event shows in GET /kv/events.
+        events_gap_every: Every n-th cache event never shows; 0 shows all.
+        resume_grace_s: How long a call with X-Request-Id runs on without a connection.
+        load_model_s: Duration of a load order.
+        engine: Arguments of ContinuousBatchEngine.
+
+    """
+
+    models: list[str] = attrs.field(factory=lambda: ["small"])
+    role: str = "mixed"
+    checks_fencing: bool = True
+    load_lag_s: float = _non_negative(0.5)
+    events_lag_s: float = _non_negative(0.5)
+    events_gap_every: int = attrs.field(default=0, validator=attrs.validators.ge(0))
+    resume_grace_s: float = _non_negative(0.0)
+    load_model_s: float = _non_negative(0.0)
+    engine: dict[str, Any] = attrs.field(factory=dict)
+
+
+@STAND_INS.register("model-engine")
+class ModelEngine(StandIn):
+    """Drives a ContinuousBatchEngine in real time and serves it over HTTP."""
+
+    kind = "model-engine"
+
+    def __init__(
+        self, settings: ModelEngineSettings | None = None, clock: Clock | None = None
+    ) -> None:
+        super().__init__(ROUTES, clock)
+        self._settings = settings if settings is not None else ModelEngineSettings()
+        self._engine = ContinuousBatchEngine.from_config(
+            {**self._settings.engine, "token_events": True}
+        )
+        self._models = set(self._settings.models)
+        self._role = self._settings.role
+        self._fencing = -1
+        self._generations: OrderedDict[str, Generation] = OrderedDict()
+        self._by_call: dict[str, Generation] = {}
+        self._loads: deque[tuple[float, dict[str, Any]]] = deque()
+        self._next_call = 0
+        self._wake = asyncio.Event()
+        self._driver: asyncio.Task[None] | None = None
+        self._record_load()
+
+    @classmethod
+    def from_config(cls, config: Mapping[str, object]) -> "ModelEngine":
+        """Build from the fields of ModelEngineSettings; all have defaults."""
+        return cls(checked_settings(ModelEngineSettings, config, cls.kind))
+
+    @property
+    def settings(self) -> ModelEngineSettings:
+        """The engine's settings."""
+        return self._settings
+
+    @property
+    def engine(self) -> ContinuousBatchEngine:
+        """The engine model, with its counters."""
+        return self._engine
+
+    @property
+    def models(self) -> list[str]:
+        """The loaded models by name."""
+        return sorted(self._models)
+
+    @property
+    def role(self) -> str:
+        """The role in force."""
+        return self._role
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> int:
+        """Start the engine and listen."""
+        bound = await super().start(host, port)
+        self._driver = asyncio.create_task(self._drive())
+        return bound
+
+    async def stop(self) -> None:
+        """Close all connections and stop the engine."""
+        for generation in list(self._by_call.values()):
+            self.cancel(generation)
+        await super().stop()
+        if self._driver is not None:
+            self._driver.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._driver
+
+    def generate(self, body: Mapping[str, Any], program: str, request_id: str) -> Generation:
+        """Queue a chat completion; the same request id joins the earlier generation."""
+        earlier = self._generations.get(request_id) if request_id else None
+        if earlier is not None and not earlier.cancelled:
+            return earlier
+        messages = body.get("messages")
+        if not isinstance(messages, list) or not all(isinstance(m, dict) for m in messages):
+            raise InvalidRequestError("messages must be a list of objects")
+        limit = body.get("max_tokens", body.get("max_completion_tokens"))
+        count = DEFAULT_ANSWER_TOKENS if limit is None else check_type(int, limit, "max_tokens")
+        check_range(count, "max_tokens", 1, MAX_ANSWER_TOKENS)
+        priority = check_type(int, body.get("priority", 0), "priority")
+        check_range(priority, "priority", -MAX_PRIORITY, MAX_PRIORITY)
+        self._next_call += 1
+        call_id = request_id or f"call-{self._next_call}"
+        tokens = answer_tokens(messages, count)
+        prompt = split_tokens(render_messages(messages))
+        answer = {"role": "assistant", "content": " ".join(tokens)}
+        final = split_tokens(render_messages([*messages, answer]))
+        call = EngineCall(
+            call_id=f"{call_id}#{self._next_call}",
+            program=program,
+            blocks=block_hashes(prompt),
+            prompt_tokens=len(prompt),
+            output_tokens=count,
+            priority=priority,
+            final_blocks=block_hashes(final),
+        )
+        created = int(self.clock.wall())
+        options = body.get("stream_options") or {}
+        generation = Generation(
+            call,
+            tokens,
+            {"id": f"chatcmpl-{call_id}", "created": created, "model": body["model"]},
+            finish_reason="stop" if limit is None else "length",
+            include_usage=bool(check_type(dict, options, "stream_options").get("include_usage")),
+        )
+        self._add(call, generation, request_id)
+        return generation
+
+    def find(self, request_id: str) -> Generation | None:
+        """Return the generation that a request id names."""
+        return self._generations.get(request_id)
+
+    def cancel(self, generation: Generation) -> None:
+        """Stop a generation that is still queued or running."""
+        if self._by_call.pop(generation.call_id, None) is not None:
+            self._engine.cancel(generation.call_id, self.clock.now())
+            generation.cancel()
+            self._changed()
+
+    async def reader_left(self, generation: Generation, resumable: bool) -> None:
+        """Cancel a generation without connections, after the grace if it can be resumed."""
+        if resumable and self._settings.resume_grace_s > 0:
+            await asyncio.sleep(self._settings.resume_grace_s)
+        if generation.readers == 0:
+            self.cancel(generation)
+
+    def lagged_load(self) -> dict[str, Any]:
+        """Return the load as it was load_lag_s ago."""
+        limit_s = self.clock.now() - self._settings.load_lag_s
+        while len(self._loads) > 1 and self._loads[1][0] <= limit_s:
+            self._loads.popleft()
+        return self._loads[0][1]
+
+    def cache_events(self, start: int) -> list[dict[str, Any]]:
+        """Return the cache events that show by now, numbered start or higher."""
+        until_s = self.clock.now() - self._settings.events_lag_s
+        gap = self._settings.events_gap_every
+        return [
+            event._asdict()
+            for event in self._engine.cache_events(start, until_s)
+            if not gap or (event.sequence + 1) % gap
+        ]
+
+    async def order(self, action: str, model: str, fencing: int) -> bool:
+        """Carry out an order; False if its fencing number is old and the engine checks it."""
+        if action not in ACTIONS:
+            raise InvalidRequestError(f"action={action!r} must be one of {', '.join(ACTIONS)}")
+        check_identifier(model, "model")
+        if self._settings.checks_fencing and fencing < self._fencing:
+            return False
+        self._fencing = max(self._fencing, fencing)
+        if action == "role":
+            self._role = model
+        elif action == "load":
+            await asyncio.sleep(self._settings.load_model_s)
+            self._models.add(model)
+        else:
+            self._models.discard(model)
+            self._engine.cache.clear(self.clock.now())
+        self._changed()
+        return True
+
+    def _add(self, call: EngineCall, generation: Generation, request_id: str) -> None:
+        if request_id:
+            self._generations[request_id] = generation
+            self._generations.move_to_end(request_id)
+            self._forget_ended()
+        self._by_call[call.call_id] = generation
+        self._dispatch(self._engine.submit(call, self.clock.now()))
+        self._changed()
+
+    def _forget_ended(self) -> None:
+        if len(self._generations) > ENDED_GENERATIONS_KEPT:
+            oldest = next(iter(self._generations))
+            if self._generations[oldest].ended:
+                del self._generations[oldest]
+
+    async def _drive(self) -> None:
+        while True:
+            self._wake.clear()
+            self._dispatch(self._engine.advance(self.clock.now()))
+            delay_s = self._engine.next_event_s - self.clock.now()
+            timeout_s = None if math.isinf(delay_s) else max(0.0, delay_s)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._wake.wait(), timeout_s)
+
+    def _dispatch(self, events: list[EngineEvent]) -> None:
+        for event in events:
+            generation = self._by_call.get(event.call_id)
+            if generation is None:
+                continue
+            if event.kind == FINISHED:
+                del self._by_call[event.call_id]
+                generation.finish()
+            else:
+                generation.produce(event.index + 1)
+        if events:
+            self._record_load()
+
+    def _changed(self) -> None:
+        self._record_load()
+        self._wake.set()
+
+    def _record_load(self) -> None:
+        engine = self._engine
+        load = {
+            "running": engine.running,
+            "waiting": engine.waiting,
+            "max_running": engine.max_running,
+            "tokens_per_s": engine.running * engine.sequence_tokens_per_s,
+            "cache_tokens": engine.cache.tokens,
+            "models": self.models,
+            "role": self._role,
+        }
+        if not self._loads or self._loads[-1][1] != load:
+            self._loads.append((self.clock.now(), load))
+            self.lagged_load()
--- /dev/null
+++ b/src/jayvalve/standins/model_handlers.py
@@ -0,0 +1,221 @@
+"""HTTP handlers of the model engine."""
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from tornado.iostream import StreamClosedError
+
+from jayvalve.errors import InvalidRequestError
+from jayvalve.internal.validation import check_identifier, check_type
+from jayvalve.standins.generation import Generation
+from jayvalve.standins.server import StandInHandler
+
+if TYPE_CHECKING:
+    from jayvalve.standins.model_engine import ModelEngine
+
+__all__ = ["ROUTES"]
+
+REQUEST_ID_HEADER = "X-Request-Id"
+PROGRAM_HEADER = "X-Program-Id"
+
+
+class EngineHandler(StandInHandler):
+    """Base of the handlers of the model engine."""
+
+    standin: "ModelEngine"  # type: ignore[assignment]
+
+    def program_of(self, fields: dict[str, Any]) -> str:
+        """Return the program that the body names."""
+        return check_identifier(fields.get("program"), "program")
+
+    def start_of(self, name: str) -> int:
+        """Return a query argument, a number from 0 on."""
+        text = self.get_query_argument(name, "0")
+        if not text.isdecimal():
+            raise InvalidRequestError(f"{name}={text!r} must be a number from 0 on")
+        return int(text)
+
+
+class StreamingHandler(EngineHandler):
+    """Sends a generation and cancels it when its last connection closes."""
+
+    async def send(self, generation: Generation, start: int, *, stream: bool, resumable: bool):
+        """Send the generation from chunk start on, streamed or whole."""
+        generation.readers += 1
+        try:
+            if stream:
+                await self.wait_unless_closed(self._send_lines(generation, start))
+            else:
+                await self.wait_unless_closed(generation.wait_ended())
+                self._send_whole(generation)
+        finally:
+            generation.readers -= 1
+            if generation.readers == 0 and not generation.ended:
+                # Runs on its own because the handler ends with its connection.
+                task = asyncio.create_task(self.standin.reader_left(generation, resumable))
+                self.standin.tasks.add(task)
+                task.add_done_callback(self.standin.tasks.discard)
+
+    async def _send_lines(self, generation: Generation, start: int) -> None:
+        self.set_header("Content-Type", "text/event-stream")
+        self.set_header("Cache-Control", "no-cache")
+        try:
+            async for line in generation.lines(start):
+                self.write(line)
+                await self.flush()
+        except StreamClosedError:
+            self.on_connection_close()
+            return
+        if generation.cancelled:
+            # A truncated chunked body tells the reader that the answer is not whole.
+            self.drop_connection()
+            return
+        self.finish()
+
+    def _send_whole(self, generation: Generation) -> None:
+        if generation.cancelled:
+            self.drop_connection()
+            return
+        self.finish(generation.document())
+
+
+class ChatHandler(StreamingHandler):
+    """POST /v1/chat/completions."""
+
+    async def post(self) -> None:
+        """Generate an answer."""
+        body = self.json_body()
+        model = check_type(str, body.get("model"), "model")
+        if model not in self.standin.models:
+            self.refuse(404, "model_not_found", f"model {model!r} is not loaded")
+            return
+        request_id = self.request.headers.get(REQUEST_ID_HEADER, "")
+        if request_id:
+            check_identifier(request_id, REQUEST_ID_HEADER)
+        program = self.request.headers.get(PROGRAM_HEADER, "")
+        generation = self.standin.generate(body, program, request_id)
+        stream = bool(body.get("stream"))
+        await self.send(generation, 0, stream=stream, resumable=bool(request_id))
+
+
+class StreamHandler(StreamingHandler):
+    """GET /v1/streams/{request_id}?from=N resumes a stream."""
+
+    async def get(self, request_id: str) -> None:
+        """Send the chunks from number N on."""
+        start = self.start_of("from")
+        generation = self.standin.find(request_id)
+        if generation is None or generation.cancelled:
+            self.refuse(404, "stream_unknown", f"no stream {request_id!r} to resume")
+            return
+        await self.send(generation, start, stream=True, resumable=True)
+
+
+class ModelsHandler(EngineHandler):
+    """GET /v1/models."""
+
+    def get(self) -> None:
+        """Return the loaded models."""
+        models = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "stand-in"}
+            for name in self.standin.models
+        ]
+        self.finish({"object": "list", "data": models})
+
+
+class LoadHandler(EngineHandler):
+    """GET /load."""
+
+    def get(self) -> None:
+        """Return the load as it was some time ago."""
+        self.finish(self.standin.lagged_load())
+
+
+class EventsHandler(EngineHandler):
+    """GET /kv/events?from=."""
+
+    def get(self) -> None:
+        """Return the cache events and the number to ask for next."""
+        start = self.start_of("from")
+        events = self.standin.cache_events(start)
+        self.finish({"events": events, "next": events[-1]["sequence"] + 1 if events else start})
+
+
+class ProgramsHandler(EngineHandler):
+    """GET /kv/programs, the memory held at this moment, for checks of released memory."""
+
+    exempt_from_faults = True
+
+    def get(self) -> None:
+        """Return the tokens held for each program and the counters."""
+        cache = self.standin.engine.cache
+        self.finish(
+            {
+                "programs": cache.programs,
+                "tokens": cache.tokens,
+                "cached_tokens": cache.cached_tokens,
+                "rebuilt_tokens": cache.rebuilt_tokens,
+                "evicted_tokens": cache.evicted_tokens,
+            }
+        )
+
+
+class ExportHandler(EngineHandler):
+    """POST /kv/export {"program"}."""
+
+    def post(self) -> None:
+        """Return the program's cache; it stays allocated until it is released."""
+        program = self.program_of(self.json_body())
+        self.finish({"program": program, "blocks": self.standin.engine.export(program)})
+
+
+class ImportHandler(EngineHandler):
+    """POST /kv/import with the body of an export."""
+
+    def post(self) -> None:
+        """Hold the exported cache."""
+        body = self.json_body()
+        blocks = check_type(list, body.get("blocks"), "blocks")
+        for block in blocks:
+            check_type(int, block, "block")
+        program = self.program_of(body)
+        self.standin.engine.import_blocks(program, blocks, self.standin.clock.now())
+        self.finish({"program": program, "blocks": len(blocks)})
+
+
+class ReleaseHandler(EngineHandler):
+    """POST /kv/release {"program"}."""
+
+    def post(self) -> None:
+        """Free the program's cache."""
+        program = self.program_of(self.json_body())
+        tokens = self.standin.engine.release(program, self.standin.clock.now())
+        self.finish({"program": program, "released_tokens": tokens})
+
+
+class OrdersHandler(EngineHandler):
+    """POST /orders {"action", "model", "fencing"}."""
+
+    async def post(self) -> None:
+        """Carry out an order to load or unload a model or to change the role."""
+        body = self.json_body()
+        action = check_type(str, body.get("action"), "action")
+        fencing = check_type(int, body.get("fencing"), "fencing")
+        if not await self.standin.order(action, body.get("model", ""), fencing):
+            self.refuse(409, "stale_fencing", f"fencing number {fencing} is old")
+            return
+        self.finish({"accepted": True, "models": self.standin.models, "role": self.standin.role})
+
+
+ROUTES = [
+    ("/v1/chat/completions", ChatHandler),
+    ("/v1/streams/([^/]+)", StreamHandler),
+    ("/v1/models", ModelsHandler),
+    ("/load", LoadHandler),
+    ("/kv/events", EventsHandler),
+    ("/kv/programs", ProgramsHandler),
+    ("/kv/export", ExportHandler),
+    ("/kv/import", ImportHandler),
+    ("/kv/release", ReleaseHandler),
+    ("/orders", OrdersHandler),
+]
--- /dev/null
+++ b/src/jayvalve/standins/rate.py
@@ -0,0 +1,26 @@
+"""Token bucket for the stand-ins' rate limits."""
+
+import attrs
+
+__all__ = ["TokenBucket"]
+
+
+@attrs.define
+class TokenBucket:
+    """Allows rate_per_s requests a second with a burst; time is an argument."""
+
+    rate_per_s: float = attrs.field(validator=attrs.validators.gt(0))
+    burst: float = attrs.field(validator=attrs.validators.ge(1))
+    _level: float | None = None
+    _at_s: float = 0.0
+
+    def take(self, now: float) -> float:
+        """Take one token and return 0, or return the seconds until one is there."""
+        level = self.burst if self._level is None else self._level
+        level = min(self.burst, level + max(0.0, now - self._at_s) * self.rate_per_s)
+        self._at_s = now
+        if level >= 1:
+            self._level = level - 1
+            return 0.0
+        self._level = level
+        return (1 - level) / self.rate_per_s
