--- /dev/null
+++ b/src/jayvalve/internal/routing/policies.py
@@ -0,0 +1,151 @@
+"""Routing policies; each chooses one of the candidates that passed the filters."""
+
+import random
+from collections.abc import Mapping, Sequence
+from typing import Protocol
+
+import attrs
+
+from jayvalve.internal.hashing import rendezvous_order
+from jayvalve.internal.registry import Registry
+from jayvalve.internal.routing.cache_view import CacheView, Prefix
+from jayvalve.internal.routing.views import Capability, EndpointView
+
+__all__ = [
+    "Distances",
+    "JayvalvePolicy",
+    "LeastLoadedPolicy",
+    "ProgramHashPolicy",
+    "RoundRobinPolicy",
+    "RoutingCall",
+    "RoutingPolicy",
+    "routing_policies",
+]
+
+# Costs that differ by less than this are equal for practical purposes.
+NEAR_EQUAL_S = 0.02
+NEAR_EQUAL_RATIO = 0.1
+DEFAULT_DISTANCE_S = 0.002
+
+
+@attrs.frozen
+class RoutingCall:
+    """What a policy needs to know of a call.
+
+    Attributes:
+        call_id: Identifies the call in the load view.
+        program: The program that issues it.
+        need: The capability that an endpoint must cover.
+        prefix: The prompt prefix that may be cached.
+        urgent: Whether the call has the urgent rank.
+        excluded: Endpoints that already failed or refused this call.
+
+    """
+
+    call_id: object
+    program: str
+    need: Capability = Capability()
+    prefix: Prefix = Prefix((), ())
+    urgent: bool = False
+    excluded: frozenset[str] = frozenset()
+
+
+@attrs.frozen
+class Distances:
+    """One-way delays in seconds from the entry's data centre."""
+
+    data_centre: str = ""
+    by_data_centre: Mapping[str, float] = attrs.field(factory=dict)
+
+    def to(self, data_centre: str) -> float:
+        """Return the one-way delay to a data centre."""
+        if data_centre == self.data_centre:
+            return 0.0
+        return self.by_data_centre.get(data_centre, DEFAULT_DISTANCE_S)
+
+
+class RoutingPolicy(Protocol):
+    """Chooses an endpoint; constructed as ``Policy(cache, distances, rng)``."""
+
+    def choose(
+        self, call: RoutingCall, candidates: Sequence[EndpointView], now: float
+    ) -> EndpointView:
+        """Return one of the candidates, which are never empty."""
+
+
+routing_policies: Registry[type] = Registry("routing policy")
+
+
+class _Policy:
+    def __init__(self, cache: CacheView, distances: Distances, rng: random.Random) -> None:
+        self._cache = cache
+        self._distances = distances
+        self._rng = rng
+
+
+@routing_policies.register("round_robin")
+class RoundRobinPolicy(_Policy):
+    """Takes the candidates in turn."""
+
+    def __init__(self, cache: CacheView, distances: Distances, rng: random.Random) -> None:
+        super().__init__(cache, distances, rng)
+        # Entries start at different places, so that they do not move in step.
+        self._next = rng.randrange(1 << 16)
+
+    def choose(
+        self, call: RoutingCall, candidates: Sequence[EndpointView], now: float
+    ) -> EndpointView:
+        """Return the next candidate."""
+        self._next += 1
+        return candidates[self._next % len(candidates)]
+
+
+@routing_policies.register("least_loaded")
+class LeastLoadedPolicy(_Policy):
+    """Takes the candidate with the fewest outstanding calls per slot, ties at random."""
+
+    def choose(
+        self, call: RoutingCall, candidates: Sequence[EndpointView], now: float
+    ) -> EndpointView:
+        """Return the least occupied candidate."""
+        return min(candidates, key=lambda view: (view.load.occupancy, self._rng.random()))
+
+
+@routing_policies.register("program_hash")
+class ProgramHashPolicy(_Policy):
+    """Sends all calls of a program to the same endpoint while it is available."""
+
+    def choose(
+        self, call: RoutingCall, candidates: Sequence[EndpointView], now: float
+    ) -> EndpointView:
+        """Return the first candidate in the program's rendezvous order."""
+        by_name = {view.name: view for view in candidates}
+        return by_name[rendezvous_order(call.program, by_name)[0]]
+
+
+@routing_policies.register("jayvalve")
+class JayvalvePolicy(_Policy):
+    """Least sum of distance, expected queue delay and rebuild cost of the missing prefix.
+
+    Entries that hold the same stale report would all choose the same least candidate. Of the
+    near equal ones two are drawn at random and the less occupied one is taken.
+    """
+
+    def cost_s(self, call: RoutingCall, view: EndpointView, now: float) -> float:
+        """Return the expected seconds before the endpoint can generate the first token."""
+        cached = self._cache.cached_tokens(view.name, call.prefix, now)
+        rebuild_s = (call.prefix.total_tokens - cached) / view.rebuild_tokens_per_s
+        distance_s = 2.0 * self._distances.to(view.data_centre)
+        return distance_s + view.load.queue_delay_s(call.urgent) + rebuild_s
+
+    def choose(
+        self, call: RoutingCall, candidates: Sequence[EndpointView], now: float
+    ) -> EndpointView:
+        """Return the better of two random candidates among the near equal ones."""
+        costs = [(self.cost_s(call, view, now), view) for view in candidates]
+        least = min(cost for cost, _ in costs)
+        bound = least + max(NEAR_EQUAL_S, NEAR_EQUAL_RATIO * least)
+        near = [view for cost, view in costs if cost <= bound]
+        if len(near) > 2:
+            near = self._rng.sample(near, 2)
+        return min(near, key=lambda view: view.load.occupancy)
