Add the endpoint queue and admission control

Two ranks with a floor for ordinary work, callers even by served tokens, least attained service of the whole program, ageing and join stragglers first.

--- /dev/null
+++ b/src/jayvalve/internal/scheduling/admission.py
@@ -0,0 +1,108 @@
+"""Early refusal of calls that an endpoint cannot serve in time."""
+
+import attrs
+
+from jayvalve.errors import DeadlineUnreachableError, OverloadedError, QueueFullError
+from jayvalve.internal.scheduling.calls import QueuedCall, Rank
+from jayvalve.internal.scheduling.queue import WaitingQueue
+
+__all__ = ["AdmissionControl", "AdmissionSettings", "ServiceRate"]
+
+MIN_RETRY_AFTER_S = 0.5
+MAX_RETRY_AFTER_S = 30.0
+RATE_SMOOTHING = 0.05
+
+
+@attrs.frozen
+class AdmissionSettings:
+    """Limits of admission.
+
+    Attributes:
+        max_waiting: Most calls that wait at the endpoint.
+        rank_share: Most of ``max_waiting`` that one rank may take, so that a flood of one
+            rank leaves room for the other.
+        floor: Share of service guaranteed to ordinary work.
+        start_wait_s: Longest expected wait at which calls that start a program are taken.
+            A refused start wastes nothing, whereas refusing a later call wastes what its
+            program has already received.
+
+    """
+
+    max_waiting: int = 1024
+    rank_share: float = 0.75
+    floor: float = 0.3
+    start_wait_s: float = 4.0
+
+
+@attrs.define
+class ServiceRate:
+    """Tokens per second that an endpoint serves with a full batch."""
+
+    limit: int
+    tokens_per_slot_s: float = 500.0
+
+    def observe(self, tokens: float, service_s: float) -> None:
+        """Record a call that took service_s seconds in the batch."""
+        if service_s > 0.0:
+            rate = tokens / service_s
+            self.tokens_per_slot_s += RATE_SMOOTHING * (rate - self.tokens_per_slot_s)
+
+    @property
+    def tokens_per_s(self) -> float:
+        """Estimated rate of the full batch."""
+        return max(1.0, self.limit * self.tokens_per_slot_s)
+
+
+class AdmissionControl:
+    """Decides at the arrival of a call whether it may wait."""
+
+    def __init__(self, queue: WaitingQueue, rate: ServiceRate, settings: AdmissionSettings) -> None:
+        self._queue = queue
+        self._rate = rate
+        self._settings = settings
+
+    def expected_wait_s(self, rank: Rank) -> float:
+        """Return the time that the waiting calls ahead of a new one take, in seconds.
+
+        The other rank takes its share only while it has calls waiting.
+        """
+        other = Rank.ORDINARY if rank is Rank.URGENT else Rank.URGENT
+        own = self._queue.waiting_tokens(rank)
+        share = 1.0 - self._settings.floor if rank is Rank.URGENT else self._settings.floor
+        alone_s = (own + self._queue.waiting_tokens(other)) / self._rate.tokens_per_s
+        return min(own / (share * self._rate.tokens_per_s), alone_s)
+
+    def check(self, call: QueuedCall, now: float) -> None:
+        """Return if the call may wait.
+
+        Raises:
+            QueueFullError: the queue, or the rank's part of it, is full.
+            DeadlineUnreachableError: the expected wait exceeds the call's deadline.
+            OverloadedError: the call would start a program and the wait is too long.
+
+        All carry the verdict not_run and a retry hint.
+
+        """
+        wait_s = self.expected_wait_s(call.rank)
+        limit = self._settings.max_waiting
+        rank_limit = int(limit * self._settings.rank_share)
+        waiting = self._queue.waiting(call.rank)
+        if len(self._queue) >= limit or waiting >= rank_limit:
+            raise QueueFullError(
+                f"{waiting} {call.rank} calls are waiting",
+                retry_after_s=_retry_hint_s(wait_s),
+            )
+        if now + wait_s > call.deadline_s:
+            raise DeadlineUnreachableError(
+                f"expected wait {wait_s:.1f} s exceeds the deadline",
+                retry_after_s=_retry_hint_s(wait_s),
+            )
+        if call.starts_program and wait_s > self._settings.start_wait_s:
+            raise OverloadedError(
+                f"expected wait {wait_s:.1f} s is too long to start a program",
+                retry_after_s=_retry_hint_s(wait_s - self._settings.start_wait_s),
+            )
+
+
+def _retry_hint_s(wait_s: float) -> float:
+    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
--- /dev/null
+++ b/src/jayvalve/internal/scheduling/fairness.py
@@ -0,0 +1,112 @@
+"""Fairness between callers by served tokens, and between ranks by a guaranteed floor."""
+
+import attrs
+
+from jayvalve.internal.scheduling.calls import Rank
+
+__all__ = ["CallerService", "RankBalance"]
+
+# Smaller differences of served tokens do not decide between callers, so that the least
+# attained program is chosen among callers that are about even.
+CALLER_QUANTUM_TOKENS = 20_000.0
+# Bounds the service that one rank can be owed, and thereby the longest burst that repays it.
+MAX_BALANCE_TOKENS = 20_000.0
+# Counters of idle callers are dropped above this number once they no longer matter.
+MAX_IDLE_CALLERS = 4096
+
+
+class CallerService:
+    """Virtual token counter per caller (VTC).
+
+    A caller that returns after an idle time starts at the level of the callers in service:
+    idle time earns no credit.
+    """
+
+    def __init__(self, quantum_tokens: float = CALLER_QUANTUM_TOKENS) -> None:
+        self._quantum = quantum_tokens
+        self._served: dict[str, float] = {}
+        self._active: set[str] = set()
+        self._floor = 0.0
+
+    def __len__(self) -> int:
+        return len(self._served)
+
+    def activate(self, caller: str) -> None:
+        """Record that the caller has work again."""
+        self._active.add(caller)
+        self._served[caller] = max(self._served.get(caller, 0.0), self._floor)
+
+    def deactivate(self, caller: str) -> None:
+        """Record that the caller has no work waiting."""
+        self._active.discard(caller)
+        if len(self._served) > 2 * len(self._active) + MAX_IDLE_CALLERS:
+            self._served = {
+                name: tokens
+                for name, tokens in self._served.items()
+                if name in self._active or tokens > self._floor
+            }
+
+    def charge(self, caller: str, tokens: float) -> None:
+        """Count tokens served; negative tokens correct an estimate that was too high."""
+        self._served[caller] = self._served.get(caller, self._floor) + tokens
+
+    def raise_floor(self, caller: str) -> None:
+        """Record that the caller, the least served one, is being served."""
+        self._floor = max(self._floor, self._served.get(caller, 0.0))
+
+    def level(self, caller: str) -> int:
+        """Return the number of whole quanta the caller has been served."""
+        return int(self._served.get(caller, 0.0) // self._quantum)
+
+
+@attrs.define
+class RankBalance:
+    """Decides which of two backlogged ranks is served next.
+
+    Urgent work goes first unless ordinary work is owed tokens. The balance counts what
+    ordinary work is owed: its share of every token served to urgent work while ordinary work
+    waits, less what it received beyond its share.
+
+    Attributes:
+        floor: Share of served tokens guaranteed to ordinary work.
+        worth_urgent: Worth of a token of urgent work.
+        worth_ordinary: Worth of a token of ordinary work.
+
+    """
+
+    floor: float = 0.3
+    worth_urgent: float = 10.0
+    worth_ordinary: float = 1.0
+    max_balance_tokens: float = MAX_BALANCE_TOKENS
+    _owed: float = attrs.field(default=0.0, init=False)
+
+    @property
+    def ordinary_share(self) -> float:
+        """Share of ordinary work while both ranks are backlogged."""
+        total = self.worth_urgent + self.worth_ordinary
+        return max(self.floor, self.worth_ordinary / total)
+
+    @property
+    def owed_tokens(self) -> float:
+        """Tokens that ordinary work is owed; negative if it is ahead."""
+        return self._owed
+
+    def charge(self, rank: Rank, tokens: float, ordinary_waiting: bool) -> None:
+        """Count tokens served to a rank."""
+        if rank is Rank.ORDINARY:
+            self._owed -= (1.0 - self.ordinary_share) * tokens
+        elif ordinary_waiting:
+            self._owed += self.ordinary_share * tokens
+        self._owed = min(self.max_balance_tokens, max(-self.max_balance_tokens, self._owed))
+
+    def ordinary_idle(self) -> None:
+        """Record that no ordinary work waits; it is then owed nothing."""
+        self._owed = min(0.0, self._owed)
+
+    def next_rank(self, urgent_waiting: bool, ordinary_waiting: bool) -> Rank:
+        """Return the rank to serve; at least one must be waiting."""
+        if not urgent_waiting:
+            return Rank.ORDINARY
+        if ordinary_waiting and self._owed > 0.0:
+            return Rank.ORDINARY
+        return Rank.URGENT
--- /dev/null
+++ b/src/jayvalve/internal/scheduling/rank_queue.py
@@ -0,0 +1,86 @@
+"""The waiting calls of one rank."""
+
+from collections import OrderedDict
+
+from jayvalve.internal.scheduling.calls import QueuedCall
+from jayvalve.internal.scheduling.fairness import CallerService
+from jayvalve.internal.scheduling.heap import LazyHeap
+
+__all__ = ["RankQueue"]
+
+
+class RankQueue:
+    """Orders calls by age, caller, straggler and attained service.
+
+    First come calls that have waited for the ageing time, in order of arrival. Then comes the
+    caller served least, and of its calls the stragglers, then the least attained service.
+    All operations cost O(log n).
+    """
+
+    def __init__(self, ageing_s: float) -> None:
+        self._ageing_s = ageing_s
+        self._callers: dict[str, LazyHeap[object]] = {}
+        self._heads: LazyHeap[str] = LazyHeap()
+        self._arrivals: OrderedDict[object, tuple[QueuedCall, float]] = OrderedDict()
+        self._service = CallerService()
+        self._tokens = 0.0
+
+    def __len__(self) -> int:
+        return len(self._arrivals)
+
+    @property
+    def waiting_tokens(self) -> float:
+        """Estimated service of all waiting calls."""
+        return self._tokens if self._arrivals else 0.0
+
+    def add(self, call: QueuedCall, now: float) -> None:
+        """Add a call."""
+        heap = self._callers.get(call.caller)
+        if heap is None:
+            heap = self._callers[call.caller] = LazyHeap()
+            self._service.activate(call.caller)
+        heap.push((not call.straggler, call.attained_tokens), call.call_id)
+        self._arrivals[call.call_id] = (call, now)
+        self._tokens += call.cost_tokens
+        self._update_head(call.caller)
+
+    def remove(self, call_id: object) -> QueuedCall | None:
+        """Remove a call that is not to be served."""
+        entry = self._arrivals.pop(call_id, None)
+        if entry is None:
+            return None
+        call = entry[0]
+        self._tokens -= call.cost_tokens
+        self._callers[call.caller].discard(call_id)
+        self._update_head(call.caller)
+        return call
+
+    def take(self, now: float) -> QueuedCall | None:
+        """Remove the next call and charge its estimated service to its caller."""
+        if not self._arrivals:
+            return None
+        oldest, offered_s = next(iter(self._arrivals.values()))
+        if now - offered_s >= self._ageing_s:
+            call = oldest
+        else:
+            _, caller = self._heads.peek()
+            _, call_id = self._callers[caller].peek()
+            call = self._arrivals[call_id][0]
+            self._service.raise_floor(caller)
+        self._service.charge(call.caller, call.cost_tokens)
+        return self.remove(call.call_id)
+
+    def correct(self, caller: str, tokens: float) -> None:
+        """Add the difference between the actual and the estimated service of a call."""
+        self._service.charge(caller, tokens)
+        if caller in self._callers:
+            self._update_head(caller)
+
+    def _update_head(self, caller: str) -> None:
+        head = self._callers[caller].peek()
+        if head is None:
+            del self._callers[caller]
+            self._heads.discard(caller)
+            self._service.deactivate(caller)
+        else:
+            self._heads.push((self._service.level(caller), *head[0]), caller)
