--- /dev/null
+++ b/src/jayvalve/internal/programs/identity.py
@@ -0,0 +1,90 @@
+"""Identifiers of programs and the terms of their owners."""
+
+import attrs
+from attrs.validators import ge, instance_of
+
+from jayvalve.errors import InvalidRequestError, WrongOrganisationError
+from jayvalve.internal.validation import check_identifier
+
+__all__ = ["ProgramId", "Term", "check_organisation"]
+
+# Limits the depth of the budget tree that each reservation walks.
+MAX_LEVELS = 8
+
+
+@attrs.frozen(order=True)
+class Term:
+    """Position of an owner in the succession of a program's owners.
+
+    epoch is an offset in the log; handover counts planned hand-overs under that epoch.
+    """
+
+    epoch: int = attrs.field(validator=[instance_of(int), ge(0)])
+    handover: int = attrs.field(default=0, validator=[instance_of(int), ge(0)])
+
+    def successor(self) -> "Term":
+        """Return the term that a planned hand-over gives to the next owner."""
+        return Term(self.epoch, self.handover + 1)
+
+
+@attrs.frozen
+class ProgramId:
+    """A program of one organisation: a root, or a sub-agent as ``root.child``."""
+
+    organisation: str
+    name: str
+
+    @classmethod
+    def parse(cls, organisation: object, name: object) -> "ProgramId":
+        """Return the checked identifier.
+
+        Raises:
+            InvalidRequestError: organisation or name is not valid.
+
+        """
+        checked = cls(check_identifier(organisation, "organisation"), check_identifier(name, "id"))
+        levels = checked.name.split(".")
+        if not all(levels) or len(levels) > MAX_LEVELS:
+            raise InvalidRequestError(
+                f"id={checked.name!r} must have 1 to {MAX_LEVELS} non-empty parts between dots"
+            )
+        return checked
+
+    @classmethod
+    def from_key(cls, key: str) -> "ProgramId":
+        """Return the identifier whose key this is."""
+        organisation, separator, name = key.partition("/")
+        if not separator:
+            raise InvalidRequestError(f"program key {key!r} has no organisation")
+        return cls.parse(organisation, name)
+
+    @property
+    def root(self) -> "ProgramId":
+        """The program that the whole tree of sub-agents belongs to."""
+        return ProgramId(self.organisation, self.name.split(".", 1)[0])
+
+    @property
+    def parent(self) -> "ProgramId | None":
+        """The program that started this one, or None for a root."""
+        head, separator, _ = self.name.rpartition(".")
+        return ProgramId(self.organisation, head) if separator else None
+
+    @property
+    def key(self) -> str:
+        """Name in messages and hashes.
+
+        It contains the organisation, since two organisations may choose the same name; "/"
+        occurs in neither part.
+        """
+        return f"{self.organisation}/{self.name}"
+
+    def child(self, name: str) -> "ProgramId":
+        """Return the identifier of a sub-agent."""
+        return ProgramId.parse(self.organisation, f"{self.name}.{name}")
+
+
+def check_organisation(expected: str, organisation: str) -> None:
+    """Raise WrongOrganisationError unless both are the same organisation."""
+    if expected != organisation:
+        # The message names neither organisation, so that it does not reveal the owner.
+        raise WrongOrganisationError("no such program in this organisation")
