Add the execution of calls by the owner of a program

An execution records an intent at a quorum of copies before each dispatch, claims the key of a call that may not be repeated, follows the attempt over lost connections, and sends the last part of the answer only after the turn is replicated. Not wired into a process yet.

--- a/src/jayvalve/internal/entry/call_stream.py
+++ b/src/jayvalve/internal/entry/call_stream.py
@@ -34,6 +34,11 @@
         """Whether any part of the answer has been passed on."""
         return bool(self._parts)
 
+    @property
+    def ended(self) -> bool:
+        """Whether the answer is complete or has failed."""
+        return self._ended
+
     def send(self, part: ResponseHead | Chunk | Completed) -> None:
         """Add a part; Completed ends the answer."""
         self._parts.append(part)
--- /dev/null
+++ b/src/jayvalve/internal/entry/dispatch.py
@@ -0,0 +1,146 @@
+"""Running of one attempt at a sidecar, over as many connections as it takes."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+from loguru import logger
+
+from jayvalve.errors import (
+    DeadlineExceededError,
+    EndpointFailedError,
+    JayvalveError,
+    PeerUnavailableError,
+    WrongIncarnationError,
+)
+from jayvalve.internal.membership import Member, MembershipView
+from jayvalve.internal.timing import Deadline
+from jayvalve.internal.transport import PeerPool
+from jayvalve.internal.wire.messages import (
+    AttemptState,
+    Cancel,
+    Chunk,
+    Completed,
+    Dispatch,
+    Inquire,
+    ResponseHead,
+    Resume,
+)
+from jayvalve.verdict import Verdict
+
+__all__ = ["AttemptDispatcher"]
+
+INQUIRY_TIMEOUT_S = 1.0
+INQUIRY_INTERVAL_S = 0.1
+# Added to a sidecar's own deadline, so that its verdict arrives before this side gives up.
+DEADLINE_GRACE_S = 0.25
+
+NOT_STARTED = ("unknown", "abandoned")
+
+_log = logger.bind(part="dispatch")
+
+
+class AttemptDispatcher:
+    """Sends attempts to sidecars.
+
+    After a lost connection the attempt's state is asked for before anything else happens: it
+    is resumed where it runs, or abandoned for good where the dispatch never arrived.
+    """
+
+    def __init__(self, pool: PeerPool, membership: MembershipView) -> None:
+        self._pool = pool
+        self._membership = membership
+
+    async def run(
+        self, sidecar: Member, dispatch: Dispatch, deadline: Deadline
+    ) -> AsyncIterator[ResponseHead | Chunk | Completed]:
+        """Dispatch and yield the whole answer.
+
+        Raises:
+            JayvalveError: its verdict says whether the attempt may have run.
+        """
+        async for part in self._follow(sidecar, dispatch, dispatch.attempt_id, deadline):
+            yield part
+
+    async def recover(
+        self, sidecar: Member, attempt_id: str, deadline: Deadline
+    ) -> AsyncIterator[ResponseHead | Chunk | Completed]:
+        """Yield the answer of an attempt that an earlier owner dispatched.
+
+        An attempt that never started is abandoned and raises an error with verdict not_run.
+        """
+        await self._require_started(sidecar, attempt_id, deadline)
+        async for part in self._follow(sidecar, Resume(attempt_id, 0), attempt_id, deadline):
+            yield part
+
+    async def cancel(self, sidecar: Member, attempt_id: str) -> Verdict:
+        """Stop an attempt and return what is then known of it."""
+        try:
+            await self._pool.call(sidecar.address, Cancel(attempt_id), INQUIRY_TIMEOUT_S)
+            state = await self._inquire(sidecar, attempt_id)
+        except JayvalveError:
+            return Verdict.MAY_HAVE_RUN
+        return Verdict.NOT_RUN if state.state in NOT_STARTED else Verdict(state.verdict)
+
+    async def _follow(
+        self, sidecar: Member, message: Any, attempt_id: str, deadline: Deadline
+    ) -> AsyncIterator[ResponseHead | Chunk | Completed]:
+        has_head = False
+        next_chunk = 0
+        while True:
+            try:
+                timeout_s = deadline.remaining_s + DEADLINE_GRACE_S
+                async for part in self._pool.stream(sidecar.address, message, timeout_s):
+                    if isinstance(part, Chunk):
+                        if part.index != next_chunk:
+                            continue
+                        next_chunk += 1
+                    elif isinstance(part, ResponseHead):
+                        if has_head:
+                            continue
+                        has_head = True
+                    elif part.chunks != next_chunk:
+                        raise PeerUnavailableError(
+                            f"answer has {part.chunks} chunks, {next_chunk} arrived",
+                            verdict=Verdict.MAY_HAVE_RUN,
+                        )
+                    yield part
+                    if isinstance(part, Completed):
+                        return
+            except PeerUnavailableError as error:
+                if error.verdict is Verdict.NOT_RUN and isinstance(message, Dispatch):
+                    raise
+                _log.info("attempt {} lost its connection: {}", attempt_id, error.message)
+                await self._require_started(sidecar, attempt_id, deadline)
+                message = Resume(attempt_id, next_chunk)
+
+    async def _require_started(self, sidecar: Member, attempt_id: str, deadline: Deadline) -> None:
+        """Return if the attempt has started and can be resumed."""
+        while True:
+            if deadline.expired:
+                verdict = await self.cancel(sidecar, attempt_id)
+                raise DeadlineExceededError("no answer before the deadline", verdict=verdict)
+            try:
+                state = await self._inquire(sidecar, attempt_id)
+            except WrongIncarnationError as error:
+                raise _incarnation_ended(sidecar) from error
+            except JayvalveError as error:
+                if self._membership.incarnation_gone(sidecar.instance, sidecar.incarnation):
+                    raise _incarnation_ended(sidecar) from error
+                await asyncio.sleep(INQUIRY_INTERVAL_S)
+                continue
+            if state.state in NOT_STARTED:
+                raise PeerUnavailableError(
+                    f"the dispatch did not reach {sidecar.instance}", verdict=Verdict.NOT_RUN
+                )
+            return
+
+    async def _inquire(self, sidecar: Member, attempt_id: str) -> AttemptState:
+        inquiry = Inquire(attempt_id, sidecar.incarnation, True)
+        return await self._pool.call(sidecar.address, inquiry, INQUIRY_TIMEOUT_S)
+
+
+def _incarnation_ended(sidecar: Member) -> EndpointFailedError:
+    return EndpointFailedError(
+        f"sidecar {sidecar.instance} ended while it ran the attempt", verdict=Verdict.MAY_HAVE_RUN
+    )
--- /dev/null
+++ b/src/jayvalve/internal/entry/endpoints.py
@@ -0,0 +1,172 @@
+"""What an entry knows about the endpoints of the inventory."""
+
+import random
+
+import attrs
+
+from jayvalve.errors import ModelUnknownError, NoEndpointError, ServiceUnknownError
+from jayvalve.internal.configuration import Document, Endpoint
+from jayvalve.internal.limits import OutlierDetector
+from jayvalve.internal.membership import Member, MembershipView, MemberState
+from jayvalve.internal.routing import (
+    CacheView,
+    Capability,
+    Distances,
+    EndpointState,
+    EndpointView,
+    Router,
+    RoutingCall,
+)
+from jayvalve.internal.timing import Clock
+
+__all__ = ["EndpointDirectory", "Target"]
+
+
+@attrs.frozen
+class Target:
+    """The endpoint chosen for one attempt and the sidecar process in front of it."""
+
+    endpoint: Endpoint
+    view: EndpointView
+    sidecar: Member
+
+
+def _capabilities(endpoint: Endpoint) -> tuple[Capability, ...]:
+    found = [Capability(service=service) for service in endpoint.services]
+    for model in endpoint.models:
+        found.append(Capability(model=model.name))
+        found += [Capability(model=model.name, adapter=name) for name in model.adapters]
+        found += [Capability(model=model.name, version=name) for name in model.versions]
+    return tuple(found)
+
+
+class EndpointDirectory:
+    """Combines inventory, membership, load reports and outliers; chooses endpoints."""
+
+    def __init__(
+        self,
+        membership: MembershipView,
+        outliers: OutlierDetector,
+        policy: str,
+        data_centre: str,
+        clock: Clock,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._membership = membership
+        self._outliers = outliers
+        self._clock = clock
+        self._cache = CacheView()
+        self._router = Router(
+            policy, self._cache, Distances(data_centre), rng or random.Random()
+        )
+        self._endpoints: dict[str, Endpoint] = {}
+        self._views: dict[str, EndpointView] = {}
+
+    @property
+    def cache(self) -> CacheView:
+        """Where prefixes are cached."""
+        return self._cache
+
+    @property
+    def endpoints(self) -> list[Endpoint]:
+        """The endpoints of the inventory in force."""
+        return list(self._endpoints.values())
+
+    def models(self) -> list[str]:
+        """Return the names of all models in the inventory."""
+        return sorted({model.name for item in self.endpoints for model in item.models})
+
+    def set_document(self, document: Document) -> None:
+        """Follow a new configuration; what is known of unchanged endpoints is kept."""
+        inventory = {item.name: item for item in document.inventory.endpoints}
+        for name in self._views.keys() - inventory.keys():
+            del self._views[name]
+            self._cache.forget_endpoint(name)
+        for name, item in inventory.items():
+            known = self._views.get(name)
+            self._views[name] = EndpointView(name, item.data_centre, _capabilities(item))
+            if known is not None:
+                self._views[name].load = known.load
+            self._views[name].load.limit = item.limits.max_running
+        self._endpoints = inventory
+        self._outliers.set_endpoints(inventory)
+
+    def service(self, name: str) -> Endpoint:
+        """Return any endpoint that provides the service, or raise ServiceUnknownError."""
+        for item in self.endpoints:
+            if name in item.services:
+                return item
+        raise ServiceUnknownError(f"service {name!r} is not in the inventory")
+
+    def check_model(self, name: str) -> None:
+        """Raise ModelUnknownError unless the inventory has the model."""
+        if name not in self.models():
+            raise ModelUnknownError(f"model {name!r} is not in the inventory")
+
+    def views(self) -> list[EndpointView]:
+        """Return all endpoints with their present state."""
+        now = self._clock.now()
+        for name, view in self._views.items():
+            view.state = self._state(name, now)
+        return list(self._views.values())
+
+    def choose(self, call: RoutingCall) -> Target:
+        """Route a call.
+
+        Raises:
+            NoEndpointError: no live endpoint covers the need.
+        """
+        view = self._router.route(call, self.views(), self._clock.now())
+        sidecar = self._sidecar(view.name)
+        if sidecar is None:
+            raise NoEndpointError(f"the sidecar of {view.name} is gone")
+        self._outliers.record_dispatch(view.name, self._clock.now())
+        return Target(self._endpoints[view.name], view, sidecar)
+
+    def completed(self, call_id: object, target: Target, service_s: float) -> None:
+        """Record the end of an attempt that took service_s seconds."""
+        self._router.completed(call_id, target.view, service_s)
+        self._outliers.record_success(target.view.name, service_s, self._clock.now())
+
+    def failed(self, call_id: object, target: Target, at_endpoint: bool) -> None:
+        """Record a failed attempt; at_endpoint tells a fault of the endpoint from a refusal."""
+        self._router.completed(call_id, target.view)
+        if at_endpoint:
+            self._outliers.record_failure(target.view.name, self._clock.now())
+
+    def observe_load(self, name: str, load: dict[str, object]) -> None:
+        """Take a load report that came with an answer or a heartbeat."""
+        view = self._views.get(name)
+        running, waiting, limit = (load.get(key) for key in ("running", "waiting", "limit"))
+        if view is None or not all(type(item) is int for item in (running, waiting, limit)):
+            return
+        urgent = load.get("waiting_urgent")
+        view.load.observe_report(
+            running,
+            waiting,
+            limit,
+            self._clock.now(),
+            urgent if type(urgent) is int else 0,
+        )
+
+    def endpoint_of(self, member: Member) -> str | None:
+        """Return the name of the endpoint that a sidecar stands beside."""
+        for item in self.endpoints:
+            if item.address == member.address:
+                return item.name
+        return None
+
+    def _sidecar(self, name: str) -> Member | None:
+        return self._membership.by_address(self._endpoints[name].address)
+
+    def _state(self, name: str, now: float) -> EndpointState:
+        sidecar = self._sidecar(name)
+        if sidecar is None or sidecar.state.is_gone:
+            return EndpointState.DEAD
+        if sidecar.state is MemberState.DRAINING:
+            return EndpointState.DRAINING
+        if sidecar.state is MemberState.SUSPECT:
+            return EndpointState.EJECTED
+        if not self._outliers.usable(name, now):
+            return EndpointState.EJECTED
+        return EndpointState.LIVE
--- /dev/null
+++ b/src/jayvalve/internal/entry/execution.py
@@ -0,0 +1,408 @@
+"""Execution of one call: attempts at endpoints until it has an answer or a final error."""
+
+import asyncio
+import itertools
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+import attrs
+from loguru import logger
+
+from jayvalve.errors import (
+    BudgetExceededError,
+    DeadlineExceededError,
+    JayvalveError,
+    KeyRequiredError,
+    MayHaveRunError,
+)
+from jayvalve.internal.entry.key_claims import ClaimGrant, KeyClaims
+from jayvalve.internal.entry.answers import EventSplitter, summarize
+from jayvalve.internal.entry.call_stream import CallStream
+from jayvalve.internal.entry.dispatch import AttemptDispatcher
+from jayvalve.internal.entry.endpoints import EndpointDirectory, Target
+from jayvalve.internal.entry.journal import Answer, Journal
+from jayvalve.internal.entry.request import CallRequest
+from jayvalve.internal.hashing import digest
+from jayvalve.internal.limits import RetryPolicy
+from jayvalve.internal.membership import MembershipView
+from jayvalve.internal.metrics import Metrics
+from jayvalve.internal.programs import Amount, Intent, Term
+from jayvalve.internal.routing import Capability, Prefix, RoutingCall
+from jayvalve.internal.timing import Clock, Deadline
+from jayvalve.internal.wire.messages import Chunk, Completed, Dispatch, ResponseHead
+from jayvalve.verdict import Verdict
+
+__all__ = ["CallExecution", "ExecutionTools"]
+
+_log = logger.bind(part="calls")
+
+
+class AttemptIds:
+    """Attempt ids of one process: its incarnation and a counter."""
+
+    def __init__(self, incarnation: int) -> None:
+        self._incarnation = incarnation
+        self._counter = itertools.count(1)
+
+    def next(self) -> str:
+        """Return an id that this process has not used."""
+        return f"{self._incarnation}-{next(self._counter)}"
+
+
+@attrs.frozen
+class ExecutionTools:
+    """What all executions of one entry share."""
+
+    clock: Clock
+    directory: EndpointDirectory
+    dispatcher: AttemptDispatcher
+    membership: MembershipView
+    retries: RetryPolicy
+    claims: KeyClaims | None
+    metrics: Metrics
+    attempt_ids: AttemptIds
+
+
+class CallExecution:
+    """Runs one call of a program and streams its answer.
+
+    Args:
+        call: The caller's request.
+        turn: Number of the turn that the call got.
+        journal: Where intents and the turn are recorded.
+        term: Term under which this entry owns the program.
+        stream: Where the answer's parts go.
+    """
+
+    def __init__(
+        self,
+        tools: ExecutionTools,
+        call: CallRequest,
+        turn: int,
+        journal: Journal,
+        term: Term,
+        stream: CallStream,
+        deadline: Deadline,
+    ) -> None:
+        self._tools = tools
+        self._call = call
+        self._turn = turn
+        self._journal = journal
+        self._term = term
+        self._stream = stream
+        self._deadline = deadline
+        self._excluded: set[str] = set()
+        self._messages = self._all_messages()
+        self._repeatable = self._is_repeatable()
+
+    @property
+    def digest(self) -> str:
+        """Checksum of the request, by which a repeat is recognised."""
+        return request_digest(self._call)
+
+    async def run(self) -> Answer:
+        """Return the answer after its turn is safe; its parts have been sent to the stream."""
+        self._tools.retries.budget.record_request(self._tools.clock.now())
+        recovered = await self._recover_open_intent()
+        if recovered is not None:
+            return recovered
+        for attempt in itertools.count(1):
+            attempt_id = self._tools.attempt_ids.next()
+            try:
+                return await self._attempt(attempt_id)
+            except JayvalveError as error:
+                await self._retry_or_raise(error, attempt)
+        raise AssertionError("unreachable")
+
+    def _all_messages(self) -> list[Any]:
+        if self._call.history_mode == "append":
+            return [*self._journal.history(), *self._call.messages]
+        return self._call.messages
+
+    def _is_repeatable(self) -> bool:
+        call = self._call
+        if call.service is None:
+            return True
+        endpoint = self._tools.directory.service(call.service)
+        if any(call.path.startswith(path) for path in endpoint.non_repeatable_paths):
+            if call.key is None:
+                raise KeyRequiredError(
+                    f"calls of {call.service}{call.path} may not be repeated and need an "
+                    "Idempotency-Key"
+                )
+            return False
+        return call.declared_repeatable is not False
+
+    async def _retry_or_raise(self, error: JayvalveError, attempt: int) -> None:
+        decision = self._tools.retries.decide(
+            error,
+            repeatable=self._repeatable,
+            attempt=attempt,
+            deadline=self._deadline,
+            now=self._tools.clock.now(),
+        )
+        if not decision.retry or self._stream.started:
+            raise error
+        _log.info("attempt {} of {} failed ({}); retrying", attempt, self._call.program, error.code)
+        self._tools.metrics.count("jayvalve_retries_total", code=error.code)
+        await asyncio.sleep(decision.delay_s)
+
+    async def _attempt(self, attempt_id: str) -> Answer:
+        if self._deadline.expired:
+            raise DeadlineExceededError("the deadline has passed", verdict=Verdict.NOT_RUN)
+        target = self._tools.directory.choose(self._routing_call(attempt_id))
+        started_s = self._tools.clock.now()
+        try:
+            body, amount = self._prepare_body()
+            await self._journal.intend(self._intent_fields(attempt_id, target), amount)
+            answer = await self._attempt_at(target, attempt_id, body, amount)
+        except JayvalveError as error:
+            self._excluded.add(target.view.name)
+            self._tools.directory.failed(attempt_id, target, error.verdict is not Verdict.NOT_RUN)
+            raise
+        self._tools.directory.completed(attempt_id, target, self._tools.clock.now() - started_s)
+        return answer
+
+    def _routing_call(self, attempt_id: str) -> RoutingCall:
+        call = self._call
+        need = (
+            Capability(service=call.service) if call.service else Capability(model=call.model or "")
+        )
+        prefix = Prefix((), ())
+        if call.model is not None:
+            prefix = Prefix.from_program(call.program, _estimated_tokens(self._messages))
+        return RoutingCall(
+            attempt_id,
+            call.program,
+            need,
+            prefix,
+            call.rank == "urgent",
+            frozenset(self._excluded),
+        )
+
+    def _intent_fields(self, attempt_id: str, target: Target) -> dict[str, Any]:
+        return {
+            "turn": self._turn,
+            "request_id": self._call.request_id,
+            "attempt_id": attempt_id,
+            "endpoint": target.endpoint.name,
+            "incarnation": target.sidecar.incarnation,
+            "repeatable": self._repeatable,
+        }
+
+    def _prepare_body(self) -> tuple[bytes, Amount]:
+        """Return the body to send and the amount that the call can use at most."""
+        call = self._call
+        if call.model is None:
+            return call.body, Amount(calls=1)
+        document = json.loads(call.body)
+        document["messages"] = self._messages
+        prompt = json.dumps(self._messages, ensure_ascii=False).encode()
+        # No tokenizer makes more tokens than bytes, so the reservation is never too small.
+        prompt_bound = len(prompt)
+        left = self._journal.tokens_left
+        if left is not None:
+            room = left - prompt_bound
+            stated = "max_tokens" in document or "max_completion_tokens" in document
+            if room < 1 or (stated and call.max_tokens > room):
+                raise BudgetExceededError(
+                    f"budget of tokens exhausted: {left} left, "
+                    f"{prompt_bound + call.max_tokens} may be used"
+                )
+            if not stated:
+                document["max_tokens"] = min(call.max_tokens, room)
+        limit = document.get("max_completion_tokens") or document.get("max_tokens")
+        tokens = prompt_bound + (limit or call.max_tokens)
+        return json.dumps(document, ensure_ascii=False).encode(), Amount(tokens, 1)
+
+    async def _attempt_at(
+        self, target: Target, attempt_id: str, body: bytes, amount: Amount
+    ) -> Answer:
+        grant: ClaimGrant | None = None
+        try:
+            if not self._repeatable:
+                grant = await self._claim(target, attempt_id)
+                if grant.answer is not None:
+                    return await self._finish_known(attempt_id, grant)
+            dispatch = self._dispatch(target, attempt_id, body, grant)
+            parts = self._tools.dispatcher.run(target.sidecar, dispatch, self._deadline)
+            return await self._consume(target, attempt_id, parts, amount, grant)
+        except JayvalveError as error:
+            await self._record_failure(attempt_id, amount, error, grant)
+            raise
+
+    async def _claim(self, target: Target, attempt_id: str) -> ClaimGrant:
+        if self._tools.claims is None:
+            raise KeyRequiredError("this entry has no log service and runs no keyed calls")
+        return await self._tools.claims.claim(
+            organisation=self._call.organisation,
+            key=self._call.key or "",
+            body_digest=self.digest,
+            attempt_id=attempt_id,
+            endpoint=target.endpoint.name,
+            sidecar=target.sidecar,
+            key_created=self._call.key_created,
+            deadline=self._deadline,
+        )
+
+    def _dispatch(
+        self, target: Target, attempt_id: str, body: bytes, grant: ClaimGrant | None
+    ) -> Dispatch:
+        call = self._call
+        return Dispatch(
+            attempt_id=attempt_id,
+            program=f"{call.organisation}/{call.program}",
+            organisation=call.organisation,
+            epoch=self._term.epoch,
+            handover=self._term.handover,
+            incarnation=target.sidecar.incarnation,
+            rank=call.rank,
+            attained_tokens=int(self._journal.attained_tokens),
+            deadline_ms=int(self._deadline.remaining_s * 1000),
+            service=call.service or "",
+            method=call.method,
+            path=call.path,
+            headers=call.headers,
+            body=body,
+            repeatable=self._repeatable,
+            claim_offset=grant.offset if grant is not None else -1,
+            stream=call.stream,
+        )
+
+    async def _consume(
+        self,
+        target: Target | None,
+        attempt_id: str,
+        parts: AsyncIterator[Any],
+        amount: Amount,
+        grant: ClaimGrant | None,
+    ) -> Answer:
+        """Pass the answer on, replicate the turn, then release the last part."""
+        splitter = EventSplitter()
+        head = ResponseHead(200, {})
+        body: list[bytes] = []
+        sent = 0
+        async for part in parts:
+            if isinstance(part, ResponseHead):
+                head = self._head(part)
+                if self._call.stream and head.status == 200:
+                    self._stream.send(head)
+            elif isinstance(part, Chunk):
+                body.append(part.data)
+                if self._call.stream and head.status == 200:
+                    sent += self._send_events(splitter, part.data, sent)
+            elif target is not None:
+                self._tools.directory.observe_load(target.view.name, part.load)
+        answer = Answer(head.status, head.headers, b"".join(body))
+        await self._end_turn(attempt_id, answer, amount, grant)
+        self._send_rest(answer, splitter, sent)
+        return answer
+
+    def _send_events(self, splitter: EventSplitter, data: bytes, sent: int) -> int:
+        ready = splitter.feed(data)
+        if not ready:
+            return 0
+        self._stream.send(Chunk(sent, ready))
+        return 1
+
+    def _send_rest(self, answer: Answer, splitter: EventSplitter, sent: int) -> None:
+        rest = answer.body
+        if self._stream.started:
+            rest = splitter.done_event
+        else:
+            self._stream.send(ResponseHead(answer.status, answer.headers))
+        if rest:
+            self._stream.send(Chunk(sent, rest))
+            sent += 1
+        self._stream.send(Completed(answer.status, str(answer.verdict), sent, digest(answer.body)))
+
+    def _head(self, part: ResponseHead) -> ResponseHead:
+        headers = {
+            name: value
+            for name, value in part.headers.items()
+            if name.lower() not in ("content-length", "transfer-encoding", "server", "date")
+        }
+        headers["Jayvalve-Verdict"] = str(Verdict.RAN)
+        headers["Jayvalve-Program"] = self._call.program
+        headers["Jayvalve-Turn"] = str(self._turn)
+        return ResponseHead(part.status, headers)
+
+    async def _end_turn(
+        self, attempt_id: str, answer: Answer, amount: Amount, grant: ClaimGrant | None
+    ) -> None:
+        used, messages = Amount(calls=1), None
+        if self._call.model is not None and answer.status == 200:
+            summary = summarize(answer.body, self._call.stream)
+            # An engine that reports no usage is charged the whole reservation.
+            used = Amount(summary.total_tokens or amount.tokens, 1)
+            if summary.message is not None:
+                messages = [*self._messages, summary.message]
+        if grant is not None and self._tools.claims is not None:
+            self._tools.claims.report(grant, answer.status, answer.headers, answer.body)
+        await self._journal.end_turn(attempt_id, used, answer, self.digest, messages)
+
+    async def _finish_known(self, attempt_id: str, grant: ClaimGrant) -> Answer:
+        """Return the outcome that the log already holds for the key."""
+        status, headers, body = grant.answer or (0, {}, b"")
+        answer = Answer(status, headers, body)
+        await self._journal.end_turn(attempt_id, Amount(), answer, self.digest, None)
+        self._send_rest(answer, EventSplitter(), 0)
+        return answer
+
+    async def _record_failure(
+        self, attempt_id: str, amount: Amount, error: JayvalveError, grant: ClaimGrant | None
+    ) -> None:
+        not_run = error.verdict is Verdict.NOT_RUN
+        try:
+            if grant is not None and not_run and self._tools.claims is not None:
+                await self._tools.claims.report_not_run(grant, self._deadline)
+            await self._journal.end_attempt(attempt_id, Amount() if not_run else amount)
+        except JayvalveError as second:
+            # The intent stays open and counts as spent; the next owner or attempt settles it.
+            _log.warning("end of attempt {} was not recorded: {}", attempt_id, second.message)
+
+    async def _recover_open_intent(self) -> Answer | None:
+        """Take up the attempt of an earlier owner, or settle it so that the turn can go on."""
+        intent = self._journal.open_intent(self._turn)
+        if intent is None:
+            return None
+        sidecar = self._sidecar_of(intent)
+        if sidecar is None:
+            await self._journal.end_attempt(intent.attempt_id, intent.reservation.amount)
+            return None
+        if intent.request_id != self._call.request_id:
+            await self._tools.dispatcher.cancel(sidecar, intent.attempt_id)
+            await self._journal.end_attempt(intent.attempt_id, intent.reservation.amount)
+            return None
+        return await self._recover(sidecar, intent)
+
+    async def _recover(self, sidecar: Any, intent: Intent) -> Answer | None:
+        amount = intent.reservation.amount
+        parts = self._tools.dispatcher.recover(sidecar, intent.attempt_id, self._deadline)
+        try:
+            return await self._consume(None, intent.attempt_id, parts, amount, None)
+        except JayvalveError as error:
+            await self._record_failure(intent.attempt_id, amount, error, None)
+            if self._stream.started or isinstance(error, MayHaveRunError):
+                raise
+            return None
+
+    def _sidecar_of(self, intent: Intent) -> Any:
+        for endpoint in self._tools.directory.endpoints:
+            if endpoint.name == intent.endpoint:
+                member = self._tools.membership.by_address(endpoint.address)
+                if member is not None and member.incarnation == intent.incarnation:
+                    return member
+        return None
+
+
+def request_digest(call: CallRequest) -> str:
+    """Return a checksum of what a repeated request must have in common."""
+    parts = [call.method, call.path, call.service or "", call.body.decode("latin-1")]
+    return digest(json.dumps(parts).encode())
+
+
+def _estimated_tokens(messages: list[Any]) -> int:
+    characters = sum(len(str(message.get("content", ""))) for message in messages)
+    return characters // 4 + 1
--- /dev/null
+++ b/src/jayvalve/internal/entry/key_claims.py
@@ -0,0 +1,256 @@
+"""Claims of idempotency keys on behalf of this entry's programs."""
+
+import asyncio
+import itertools
+import uuid
+from collections.abc import AsyncIterator, Callable, Coroutine
+from typing import Any
+
+import attrs
+from loguru import logger
+
+from jayvalve.errors import JayvalveError, MayHaveRunError, PeerUnavailableError
+from jayvalve.internal.claims import BODY_DIGEST_HEADER, ClaimRelays, relay_of
+from jayvalve.internal.entry.dispatch import AttemptDispatcher
+from jayvalve.internal.membership import Member
+from jayvalve.internal.timing import Clock, Deadline
+from jayvalve.internal.transport import HandlerTable, PeerContext, PeerPool
+from jayvalve.internal.wire.messages import (
+    Chunk,
+    ClaimDecision,
+    ClaimRequest,
+    KeyQuery,
+    OutcomeReport,
+    ResponseHead,
+)
+from jayvalve.verdict import Verdict
+
+__all__ = ["ClaimGrant", "KeyClaims"]
+
+RELAY_TIMEOUT_S = 10.0
+RETRY_INTERVAL_S = 0.2
+# An outcome that the log did not take is also in the program's history and at the sidecar.
+REPORT_LIMIT_S = 600.0
+
+StoredAnswer = tuple[int, dict[str, str], bytes]
+
+_log = logger.bind(part="claims")
+
+
+@attrs.frozen
+class ClaimGrant:
+    """A claim that this entry holds, or the answer that the key already has."""
+
+    request: ClaimRequest
+    offset: int
+    answer: StoredAnswer | None = None
+
+
+class KeyClaims:
+    """Claims keys through the relay of their partition and resolves claims of others.
+
+    Args:
+        relays: The relays that this process serves.
+        entries: Returns the live entries, this one included, as instance to address.
+        find_sidecar: Returns the live sidecar of an endpoint with an incarnation, or None.
+        spawn: Runs a coroutine in the background.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        relays: ClaimRelays,
+        pool: PeerPool,
+        dispatcher: AttemptDispatcher,
+        entries: Callable[[], dict[str, str]],
+        find_sidecar: Callable[[str, int], Member | None],
+        spawn: Callable[[Coroutine[Any, Any, Any]], Any],
+        clock: Clock,
+    ) -> None:
+        self._instance = instance
+        self._relays = relays
+        self._pool = pool
+        self._dispatcher = dispatcher
+        self._entries = entries
+        self._find_sidecar = find_sidecar
+        self._spawn = spawn
+        self._clock = clock
+
+    def register(self, handlers: HandlerTable) -> None:
+        """Answer the claim messages of other entries."""
+
+        @handlers.on(ClaimRequest)
+        async def claim(context: PeerContext, message: ClaimRequest) -> ClaimDecision:
+            return await self._relays.claim(message, self._relay_deadline())
+
+        @handlers.on(OutcomeReport)
+        async def report(context: PeerContext, message: OutcomeReport) -> ClaimDecision:
+            return await self._relays.report_outcome(message, self._relay_deadline())
+
+        @handlers.on(KeyQuery)
+        async def query(context: PeerContext, message: KeyQuery) -> ClaimDecision:
+            return await self._relays.query(message, self._relay_deadline())
+
+    async def claim(
+        self,
+        *,
+        organisation: str,
+        key: str,
+        body_digest: str,
+        attempt_id: str,
+        endpoint: str,
+        sidecar: Member,
+        key_created: float,
+        deadline: Deadline,
+    ) -> ClaimGrant:
+        """Claim a key for one attempt, or return the answer that it already has.
+
+        Raises:
+            MayHaveRunError: an earlier attempt may have run; only an operator can settle it.
+            JayvalveError: the claim was not granted; verdict not_run.
+        """
+        number = 1
+        while True:
+            request = ClaimRequest(
+                uuid.uuid4().hex,
+                organisation,
+                key,
+                body_digest,
+                attempt_id,
+                endpoint,
+                sidecar.incarnation,
+                number,
+                key_created,
+            )
+            decision = await self._ask(request, deadline)
+            if decision.state == "granted":
+                return ClaimGrant(request, decision.claim_offset)
+            if decision.state == "held":
+                answer = await self._resolve_held(request, decision, deadline)
+                if answer is not None:
+                    return ClaimGrant(request, decision.claim_offset, answer)
+            elif decision.verdict != Verdict.NOT_RUN:
+                answer = _recorded_answer(decision)
+                return ClaimGrant(request, decision.claim_offset, answer)
+            number = decision.attempt_number + 1
+
+    def report(
+        self, grant: ClaimGrant, status: int, headers: dict[str, str], body: bytes
+    ) -> None:
+        """Record in the background that a claimed call ran."""
+        report = _report(grant.request, Verdict.RAN, status, headers, body)
+        self._spawn(self._report_until_taken(report))
+
+    async def report_not_run(self, grant: ClaimGrant, deadline: Deadline) -> None:
+        """Record that a claimed call did not run, so that the key can be claimed again."""
+        await self._ask(_report(grant.request, Verdict.NOT_RUN), deadline)
+
+    async def query(self, organisation: str, key: str, timeout_s: float) -> ClaimDecision:
+        """Return what is known of a key."""
+        return await self._ask(KeyQuery(organisation, key), Deadline.after(self._clock, timeout_s))
+
+    def _relay_deadline(self) -> Deadline:
+        return Deadline.after(self._clock, RELAY_TIMEOUT_S)
+
+    async def _ask(self, message: Any, deadline: Deadline) -> ClaimDecision:
+        """Send a message to the relay; the ids in it make a repetition harmless."""
+        while True:
+            entries = self._entries()
+            relay = relay_of(message.organisation, message.key, sorted(entries))
+            if relay == self._instance:
+                return await self._answer_here(message, deadline)
+            try:
+                timeout_s = min(RELAY_TIMEOUT_S, deadline.remaining_s)
+                return await self._pool.call(entries[relay], message, timeout_s)
+            except PeerUnavailableError as error:
+                if deadline.remaining_s <= RETRY_INTERVAL_S:
+                    # No dispatch follows an error here, whatever became of the claim.
+                    raise PeerUnavailableError(error.message, verdict=Verdict.NOT_RUN) from error
+                await asyncio.sleep(RETRY_INTERVAL_S)
+
+    async def _answer_here(self, message: Any, deadline: Deadline) -> ClaimDecision:
+        if isinstance(message, ClaimRequest):
+            return await self._relays.claim(message, deadline)
+        if isinstance(message, OutcomeReport):
+            return await self._relays.report_outcome(message, deadline)
+        return await self._relays.query(message, deadline)
+
+    async def _resolve_held(
+        self, request: ClaimRequest, held: ClaimDecision, deadline: Deadline
+    ) -> StoredAnswer | None:
+        """Return the answer of the attempt that holds the key, or None if it did not run."""
+        holder = attrs.evolve(
+            request, claim_id=held.claim_id, attempt_id=held.attempt_id, endpoint=held.endpoint
+        )
+        sidecar = self._find_sidecar(held.endpoint, held.incarnation)
+        if sidecar is None:
+            self._spawn(self._report_until_taken(_report(holder, Verdict.MAY_HAVE_RUN)))
+            raise MayHaveRunError(
+                f"attempt {held.attempt_id} held the key and its sidecar is gone; an operator "
+                "can settle it"
+            )
+        try:
+            parts = self._dispatcher.recover(sidecar, held.attempt_id, deadline)
+            answer = await _collect(parts)
+        except JayvalveError as error:
+            if error.verdict is not Verdict.NOT_RUN:
+                raise MayHaveRunError(
+                    f"attempt {held.attempt_id} holds the key: {error.message}"
+                ) from error
+            await self._ask(_report(holder, Verdict.NOT_RUN), deadline)
+            return None
+        self._spawn(self._report_until_taken(_report(holder, Verdict.RAN, *answer)))
+        return answer
+
+    async def _report_until_taken(self, report: OutcomeReport) -> None:
+        deadline = Deadline.after(self._clock, REPORT_LIMIT_S)
+        for failures in itertools.count():
+            try:
+                await self._ask(report, self._relay_deadline())
+                return
+            except JayvalveError as error:
+                if deadline.expired:
+                    _log.error("outcome of key {} was not recorded: {}", report.key, error.message)
+                    return
+                await asyncio.sleep(min(10.0, RETRY_INTERVAL_S * 2**failures))
+
+
+def _report(
+    request: ClaimRequest,
+    verdict: Verdict,
+    status: int = 0,
+    headers: dict[str, str] | None = None,
+    body: bytes = b"",
+) -> OutcomeReport:
+    return OutcomeReport(
+        request.claim_id,
+        request.organisation,
+        request.key,
+        request.attempt_id,
+        str(verdict),
+        status,
+        headers or {},
+        body,
+    )
+
+
+def _recorded_answer(decision: ClaimDecision) -> StoredAnswer:
+    if decision.verdict != Verdict.RAN:
+        raise MayHaveRunError(
+            f"attempt {decision.attempt_id} of this key may have run; an operator can settle it"
+        )
+    if BODY_DIGEST_HEADER in decision.headers or decision.status == 0:
+        raise MayHaveRunError(
+            "the call ran, but its answer is no longer stored", verdict=Verdict.RAN
+        )
+    return decision.status, decision.headers, decision.body
+
+
+async def _collect(parts: AsyncIterator[Any]) -> StoredAnswer:
+    status, headers, body = 200, {}, []
+    async for part in parts:
+        if isinstance(part, ResponseHead):
+            status, headers = part.status, part.headers
+        elif isinstance(part, Chunk):
+            body.append(part.data)
+    return status, headers, b"".join(body)
--- /dev/null
+++ b/src/jayvalve/internal/entry/programs.py
@@ -0,0 +1,234 @@
+"""The programs that this entry owns, with their running calls."""
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import attrs
+
+from jayvalve.errors import (
+    DeadlineExceededError,
+    InternalError,
+    JayvalveError,
+    ProgramEndedError,
+    ProgramUnknownError,
+)
+from jayvalve.internal.configuration import BudgetRule
+from jayvalve.internal.entry.call_stream import CallStream
+from jayvalve.internal.entry.execution import CallExecution, ExecutionTools, request_digest
+from jayvalve.internal.entry.journal import Answer, EphemeralJournal, ProgramJournal
+from jayvalve.internal.entry.request import BudgetLimits, CallRequest
+from jayvalve.internal.hashing import digest
+from jayvalve.internal.programs import (
+    OwnedProgram,
+    OwnershipTable,
+    Program,
+    ProgramId,
+    Term,
+    TurnCall,
+    TurnSequence,
+)
+from jayvalve.internal.timing import Deadline
+from jayvalve.internal.wire.messages import Chunk, Completed, ResponseHead
+from jayvalve.verdict import Verdict
+
+__all__ = ["ProgramCalls", "replay"]
+
+
+@attrs.define(eq=False)
+class _AgentCalls:
+    sequence: TurnSequence
+    streams: dict[str, CallStream] = attrs.field(factory=dict)
+
+
+def replay(answer: Answer) -> list[Any]:
+    """Return the parts of a stored answer."""
+    parts: list[Any] = [ResponseHead(answer.status, answer.headers)]
+    if answer.body:
+        parts.append(Chunk(0, answer.body))
+    parts.append(
+        Completed(answer.status, str(answer.verdict), len(parts) - 1, digest(answer.body))
+    )
+    return parts
+
+
+def budget_limits(stated: BudgetLimits, rule: BudgetRule) -> list[Any]:
+    """Return the limits that a program's start record holds.
+
+    The third is the Unix time at which the program's wall time ends: unlike tokens and calls,
+    wall time passes for all sub-agents at once, so it is not drawn from a common amount.
+    """
+    seconds = stated.seconds if stated.seconds is not None else rule.seconds
+    return [
+        stated.tokens if stated.tokens is not None else rule.tokens,
+        stated.calls if stated.calls is not None else rule.calls,
+        time.time() + seconds if seconds is not None else None,
+    ]
+
+
+class ProgramCalls:
+    """Runs calls of programs in order and lets repeats join running calls."""
+
+    def __init__(
+        self,
+        table: OwnershipTable,
+        tools: ExecutionTools,
+        spawn: Callable[[Coroutine[Any, Any, Any]], Any],
+        budget_rule: Callable[[], BudgetRule],
+    ) -> None:
+        self._table = table
+        self._tools = tools
+        self._spawn = spawn
+        self._budget_rule = budget_rule
+        self._agents: dict[tuple[int, str], _AgentCalls] = {}
+        self._last_used_s: dict[str, float] = {}
+
+    @property
+    def running(self) -> int:
+        """Number of calls under way."""
+        return sum(len(agent.streams) for agent in self._agents.values())
+
+    def idle_programs(self, idle_s: float) -> list[ProgramId]:
+        """Return the owned programs without a call for idle_s seconds."""
+        now = self._tools.clock.now()
+        found = []
+        for key in self._table.programs:
+            last_s = self._last_used_s.setdefault(key, now)
+            if now - last_s >= idle_s and self.is_idle(ProgramId.from_key(key)):
+                found.append(ProgramId.from_key(key))
+        return found
+
+    def is_idle(self, identity: ProgramId) -> bool:
+        """Return whether no call of the program or its sub-agents runs or waits."""
+        owned = self._table.get(identity)
+        if owned is None:
+            return True
+        return all(
+            not agent.streams
+            for (owner, _), agent in self._agents.items()
+            if owner == id(owned)
+        )
+
+    def limits_of(self, call: CallRequest) -> list[Any]:
+        """Return the limits for a program that starts with this call."""
+        return budget_limits(call.budget, self._budget_rule())
+
+    def run_single(self, call: CallRequest) -> CallStream:
+        """Run a call without a program."""
+        stream = CallStream()
+        deadline = Deadline.after(self._tools.clock, call.deadline_s)
+        execution = CallExecution(
+            self._tools, call, 1, EphemeralJournal(), Term(0), stream, deadline
+        )
+        self._spawn(self._finish_single(execution, stream))
+        return stream
+
+    async def run(self, owned: OwnedProgram, call: CallRequest) -> CallStream:
+        """Run a call of an owned program, or join it if it is a repeat."""
+        program = owned.program
+        identity = ProgramId.parse(call.organisation, call.program)
+        if program.ended:
+            raise ProgramEndedError(f"program {call.program} has ended")
+        if identity.name not in program.agents:
+            await self._start_agent(program, identity, call)
+        self._last_used_s[identity.root.key] = self._tools.clock.now()
+        agent = self._agent(owned, identity)
+        running = agent.streams.get(call.request_id)
+        if running is not None:
+            return running
+        stream = CallStream()
+        agent.streams[call.request_id] = stream
+        self._spawn(self._drive(owned, identity, agent, call, stream))
+        return stream
+
+    def forget(self, owned: OwnedProgram) -> None:
+        """Drop the sequences of a program that ended or moved."""
+        for key in [key for key in self._agents if key[0] == id(owned)]:
+            del self._agents[key]
+        self._last_used_s.pop(owned.program.identity.key, None)
+
+    def _agent(self, owned: OwnedProgram, identity: ProgramId) -> _AgentCalls:
+        key = (id(owned), identity.name)
+        if key not in self._agents:
+            state = owned.program.agent(identity.name)
+            sequence = TurnSequence(self._tools.clock, state.last_turn)
+            for turn in state.turns.values():
+                answer = Answer.decode(turn.status, turn.verdict, turn.answer)
+                sequence.restore(turn.turn, turn.request_id, turn.digest, answer)
+            self._agents[key] = _AgentCalls(sequence)
+        return self._agents[key]
+
+    async def _start_agent(
+        self, program: Program, identity: ProgramId, call: CallRequest
+    ) -> None:
+        parent = identity.parent
+        if parent is None or parent.name not in program.agents:
+            raise ProgramUnknownError(f"the parent of program {identity.name} is not known")
+        stated = budget_limits(call.budget, BudgetRule())
+        await self._table.append(identity, program.child_record(identity.name, stated))
+
+    def _deadline(self, program: Program, identity: ProgramId, call: CallRequest) -> Deadline:
+        left_s = call.deadline_s
+        level: ProgramId | None = identity
+        while level is not None:
+            ends_at = program.agent(level.name).budget.limits[2]
+            if ends_at is not None:
+                left_s = min(left_s, ends_at - time.time())
+            level = level.parent
+        if left_s <= 0:
+            raise DeadlineExceededError(
+                "the program's budget of seconds is spent", verdict=Verdict.NOT_RUN
+            )
+        return Deadline.after(self._tools.clock, left_s)
+
+    async def _drive(
+        self,
+        owned: OwnedProgram,
+        identity: ProgramId,
+        agent: _AgentCalls,
+        call: CallRequest,
+        stream: CallStream,
+    ) -> None:
+        try:
+            deadline = self._deadline(owned.program, identity, call)
+
+            async def execute(turn: int) -> Answer:
+                journal = ProgramJournal(self._table, owned.program, identity)
+                term = owned.writer.term
+                execution = CallExecution(
+                    self._tools, call, turn, journal, term, stream, deadline
+                )
+                return await execution.run()
+
+            turn_call = TurnCall(call.request_id, request_digest(call), deadline, call.turn)
+            answer = await agent.sequence.run(turn_call, execute)
+            if not stream.ended:
+                for part in replay(answer):
+                    stream.send(part)
+        except JayvalveError as error:
+            stream.fail(error)
+        except Exception as error:
+            stream.fail(InternalError(f"{type(error).__name__} in a call"))
+            raise
+        finally:
+            agent.streams.pop(call.request_id, None)
+            self._last_used_s[identity.root.key] = self._tools.clock.now()
+
+    async def _finish_single(self, execution: CallExecution, stream: CallStream) -> None:
+        try:
+            await execution.run()
+        except JayvalveError as error:
+            stream.fail(error)
+        except Exception as error:
+            stream.fail(InternalError(f"{type(error).__name__} in a call"))
+            raise
+
+
+async def wait_until_idle(calls: ProgramCalls, limit_s: float, interval_s: float = 0.05) -> bool:
+    """Wait until no call is under way; return whether that was reached."""
+    for _ in range(int(limit_s / interval_s)):
+        if not calls.running:
+            return True
+        await asyncio.sleep(interval_s)
+    return not calls.running
