Add the membership view, failure detector and instance list poller

Every process needs to know which processes run, drain or are gone, within the control traffic bound of 4 KB/s.

--- /dev/null
+++ b/src/jayvalve/internal/membership/view.py
@@ -0,0 +1,297 @@
+"""One process's view of the other processes."""
+
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from jayvalve.internal.membership.member import (
+    Member,
+    MemberChange,
+    MemberState,
+    MemberUpdate,
+)
+from jayvalve.internal.membership.record import IncarnationFloors, MemberRecord
+from jayvalve.internal.wire.messages import Heartbeat, Hello
+
+__all__ = ["DEAD_AFTER_S", "SUSPECT_AFTER_S", "MembershipView"]
+
+SUSPECT_AFTER_S = 1.5
+DEAD_AFTER_S = 3.0
+CHECK_SUSPICION_AFTER_S = 5.0
+# Longer than a loss of contact between regions, so that both sides find each other again.
+FORGET_AFTER_S = 3600.0
+
+Subscriber = Callable[[MemberChange], None]
+
+
+class MembershipView:
+    """Combines heartbeats, failed probes, gossip and the instance list.
+
+    A member that did not answer is suspect after SUSPECT_AFTER_S and dead after DEAD_AFTER_S.
+    An incarnation that left or was replaced by a higher one is gone for good. An incarnation
+    that only stopped answering comes back when it refutes the report with a higher refutation
+    number, as after a loss of contact between regions.
+    """
+
+    def __init__(self, identity: Hello) -> None:
+        self._identity = identity
+        self._records: dict[str, MemberRecord] = {}
+        self._floors = IncarnationFloors()
+        self._subscribers: list[Subscriber] = []
+        self._changes: list[MemberChange] = []
+        self._refutation = 0
+
+    @property
+    def refutation(self) -> int:
+        """Own refutation number, sent in the heartbeats of this process."""
+        return self._refutation
+
+    @property
+    def size(self) -> int:
+        """Number of known members, without this process."""
+        return len(self._records)
+
+    def members(self) -> list[Member]:
+        """Return all known members, without this process, ordered by instance."""
+        return [record.member for _, record in sorted(self._records.items())]
+
+    def get(self, instance: str) -> Member | None:
+        """Return the newest known incarnation of the instance."""
+        record = self._records.get(instance)
+        return record.member if record else None
+
+    def live(self, role: str | None = None) -> list[Member]:
+        """Return members that are believed to run and are not leaving."""
+        return self._select(role, (MemberState.LIVE, MemberState.SUSPECT))
+
+    def usable(self, role: str | None = None) -> list[Member]:
+        """Return members that may be given new work."""
+        return self._select(role, (MemberState.LIVE,))
+
+    def leaving(self, role: str | None = None) -> list[Member]:
+        """Return members that drain."""
+        return self._select(role, (MemberState.DRAINING,))
+
+    def by_address(self, address: str) -> Member | None:
+        """Return the newest member at ``ip:port`` that is not gone."""
+        found = [m for m in self.members() if m.address == address and not m.state.is_gone]
+        return max(found, key=lambda member: member.incarnation, default=None)
+
+    def incarnation_gone(self, instance: str, incarnation: int) -> bool:
+        """Return whether this incarnation ended, left or is declared dead.
+
+        An instance that was never seen is not reported as gone.
+        """
+        record = self._records.get(instance)
+        if record is None or incarnation > record.member.incarnation:
+            return self._floors.excludes(instance, incarnation)
+        return incarnation < record.member.incarnation or record.is_gone
+
+    def refutation_of(self, instance: str) -> int:
+        """Return the highest refutation number seen of the current incarnation."""
+        record = self._records.get(instance)
+        return record.refutation if record else 0
+
+    def subscribe(self, subscriber: Subscriber) -> None:
+        """Call subscriber with each change from now on."""
+        self._subscribers.append(subscriber)
+
+    def observe_heartbeat(self, hello: Hello, heartbeat: Heartbeat, now: float) -> None:
+        """Take note of a direct sign of life; it overrides everything but a final end."""
+        if hello.instance == self._identity.instance:
+            return
+        record = self._current_record(Member.from_hello(hello), now)
+        if record is None or record.final:
+            return
+        record.signalled = True
+        if record.member.state is MemberState.DEAD and heartbeat.refutation <= record.refutation:
+            return
+        record.refutation = max(record.refutation, heartbeat.refutation)
+        record.heard_s = now
+        record.clear_suspicion()
+        self._retire_address(record.member, now)
+        if heartbeat.state == MemberState.LEFT:
+            record.final = True
+            self._set_state(record, MemberState.LEFT, now)
+            return
+        record.draining |= heartbeat.state == MemberState.DRAINING
+        self._set_state(record, MemberState.LIVE, now)
+
+    def observe_failure(self, instance: str, now: float) -> None:
+        """Take note of a probe, sent at now, that got no answer."""
+        record = self._records.get(instance)
+        if record is None or record.is_gone or record.failed_since_s is not None:
+            return
+        if record.heard_s is None or record.heard_s <= now:
+            record.failed_since_s = now
+
+    def observe_indirect_answer(self, instance: str) -> None:
+        """Take note that the instance answered another process that probed it for this one."""
+        record = self._records.get(instance)
+        if record is not None and not record.is_gone:
+            record.failed_since_s = None
+
+    def observe_updates(self, updates: Iterable[MemberUpdate], now: float) -> None:
+        """Take note of what other processes report."""
+        for update in updates:
+            if update.instance == self._identity.instance:
+                self._refute(update)
+            else:
+                self._observe_update(update, now)
+
+    def observe_list(self, listed: Iterable[Member], now: float) -> None:
+        """Take note of the platform's instance list, which lags behind.
+
+        It adds and removes only members without a signal of the same or a newer incarnation.
+        An incarnation of 0 means that the list does not state it. A listed departure of
+        exactly the known incarnation counts, because a departure is never taken back.
+        """
+        names = set()
+        for member in listed:
+            names.add(member.instance)
+            if member.instance != self._identity.instance:
+                self._observe_listed(member, now)
+        for instance, record in list(self._records.items()):
+            if instance not in names and not record.signalled and not record.is_gone:
+                self._forget(record)
+                self._announce(attrs.evolve(record.member, state=MemberState.LEFT), record.member)
+
+    def postpone(self, seconds: float) -> None:
+        """Extend all running time limits after this process itself was paused."""
+        for record in self._records.values():
+            if record.failed_since_s is not None:
+                record.failed_since_s += seconds
+
+    def needs_probe(self, now: float) -> list[Member]:
+        """Return members whose suspected failure this process has to check."""
+        return [
+            record.member
+            for record in self._records.values()
+            if record.needs_probe(now, CHECK_SUSPICION_AFTER_S)
+        ]
+
+    def tick(self, now: float, patience: float = 1.0) -> list[MemberChange]:
+        """Apply the time limits, multiplied by patience; return changes since the last tick."""
+        for record in list(self._records.values()):
+            if record.is_gone:
+                if now - record.changed_s > FORGET_AFTER_S:
+                    self._forget(record)
+            elif record.failed_since_s is not None:
+                self._apply_limits(record, now, patience)
+        changes, self._changes = self._changes, []
+        return changes
+
+    def _apply_limits(self, record: MemberRecord, now: float, patience: float) -> None:
+        silent_s = now - record.failed_since_s
+        if silent_s >= DEAD_AFTER_S * patience:
+            self._set_state(record, MemberState.DEAD, now)
+        elif silent_s >= SUSPECT_AFTER_S * patience:
+            self._set_state(record, MemberState.SUSPECT, now)
+
+    def _select(self, role: str | None, states: tuple[MemberState, ...]) -> list[Member]:
+        return [
+            member
+            for member in self.members()
+            if member.state in states and (role is None or member.role == role)
+        ]
+
+    def _current_record(self, member: Member, now: float) -> MemberRecord | None:
+        """Return the record of this incarnation, or None if a newer one is known."""
+        record = self._records.get(member.instance)
+        if record is not None and member.incarnation <= record.member.incarnation:
+            return record if member.incarnation == record.member.incarnation else None
+        if self._floors.excludes(member.instance, member.incarnation):
+            return None
+        fresh = MemberRecord(attrs.evolve(member, state=MemberState.LIVE), changed_s=now)
+        # The instance list may not state the incarnation; then this is the listed process.
+        replaced = record is not None and (record.signalled or record.member.incarnation > 0)
+        if replaced:
+            self._announce(attrs.evolve(record.member, state=MemberState.DEAD), record.member)
+        self._records[member.instance] = fresh
+        self._announce(fresh.member, None)
+        return fresh
+
+    def _retire_address(self, newcomer: Member, now: float) -> None:
+        for record in self._records.values():
+            member = record.member
+            if member.address == newcomer.address and member.incarnation < newcomer.incarnation:
+                self._end_incarnation(record, now)
+
+    def _end_incarnation(self, record: MemberRecord, now: float) -> None:
+        record.final = True
+        if not record.is_gone:
+            self._set_state(record, MemberState.DEAD, now)
+
+    def _forget(self, record: MemberRecord) -> None:
+        member = record.member
+        lowest = member.incarnation + 1 if record.final else member.incarnation
+        self._floors.raise_to(member.instance, lowest)
+        del self._records[member.instance]
+
+    def _refute(self, update: MemberUpdate) -> None:
+        accused = update.state in (MemberState.SUSPECT, MemberState.DEAD)
+        if accused and update.incarnation == self._identity.incarnation:
+            self._refutation = max(self._refutation, update.refutation + 1)
+
+    def _observe_update(self, update: MemberUpdate, now: float) -> None:
+        known = self._records.get(update.instance)
+        newer = known is None or update.incarnation > known.member.incarnation
+        if newer and (not update.address or update.state.is_gone):
+            if known is not None:
+                self._end_incarnation(known, now)
+            return
+        record = self._current_record(update.as_member(), now)
+        if record is None or record.final:
+            return
+        record.signalled = True
+        if update.state is MemberState.LEFT:
+            record.final = True
+            self._set_state(record, MemberState.LEFT, now)
+        elif update.state in (MemberState.SUSPECT, MemberState.DEAD):
+            self._observe_accusation(record, update, now)
+        else:
+            self._observe_reported_life(record, update, now)
+
+    def _observe_accusation(self, record: MemberRecord, update: MemberUpdate, now: float) -> None:
+        heard_lately = record.heard_within(SUSPECT_AFTER_S, now)
+        if update.refutation < record.refutation or heard_lately or record.is_gone:
+            return
+        record.refutation = update.refutation
+        if record.suspected_by_others_s is None:
+            record.suspected_by_others_s = now
+        self._set_state(record, update.state, now)
+
+    def _observe_reported_life(
+        self, record: MemberRecord, update: MemberUpdate, now: float
+    ) -> None:
+        record.draining |= update.state is MemberState.DRAINING
+        if update.refutation > record.refutation:
+            record.refutation = update.refutation
+            record.clear_suspicion()
+            self._set_state(record, MemberState.LIVE, now)
+        elif record.member.state is MemberState.LIVE:
+            self._set_state(record, MemberState.LIVE, now)
+
+    def _observe_listed(self, listed: Member, now: float) -> None:
+        record = self._current_record(listed, now)
+        if record is None or record.is_gone:
+            return
+        if listed.state is MemberState.DRAINING:
+            record.draining = True
+            self._set_state(record, record.member.state, now)
+
+    def _set_state(self, record: MemberRecord, state: MemberState, now: float) -> None:
+        if record.draining and not state.is_gone:
+            state = MemberState.DRAINING
+        previous = record.member
+        if previous.state is state:
+            return
+        record.member = attrs.evolve(previous, state=state)
+        record.changed_s = now
+        self._announce(record.member, previous)
+
+    def _announce(self, member: Member, previous: Member | None) -> None:
+        change = MemberChange(member, previous.state if previous else None)
+        self._changes.append(change)
+        for subscriber in self._subscribers:
+            subscriber(change)
