--- /dev/null
+++ b/src/jayvalve/internal/limits/retry_budget.py
@@ -0,0 +1,93 @@
+"""Budget that keeps retries and hedges a small share of the requests."""
+
+from collections import deque
+
+import attrs
+
+from jayvalve.internal.validation import check_range
+
+__all__ = ["RetryBudget"]
+
+
+@attrs.define
+class RetryBudget:
+    """Allows retries and hedges up to a share of the requests in a sliding window.
+
+    In any window the extra attempts are at most ``share * requests + floor_per_s * window_s``.
+    The floor lets a caller with few requests retry at all. Hedges draw on the same budget and
+    are counted apart.
+
+    Attributes:
+        share: Extra attempts per request.
+        floor_per_s: Extra attempts a second that are allowed without requests.
+        window_s: Length of the window in seconds.
+
+    """
+
+    # Limits the memory of the window: requests are counted in slots of this part of it.
+    SLOTS = 50
+
+    share: float = 0.1
+    floor_per_s: float = 0.2
+    window_s: float = 10.0
+    _requests: deque[list[float]] = attrs.field(init=False, factory=deque)
+    _extra: deque[float] = attrs.field(init=False, factory=deque)
+    _request_count: int = attrs.field(init=False, default=0)
+    _retries: int = attrs.field(init=False, default=0)
+    _hedges: int = attrs.field(init=False, default=0)
+
+    def __attrs_post_init__(self) -> None:
+        check_range(self.share, "share", 0.0, 1.0)
+        check_range(self.floor_per_s, "floor_per_s", 0.0, 1000.0)
+        check_range(self.window_s, "window_s", 0.1, 3600.0)
+
+    @property
+    def retries(self) -> int:
+        """Number of retries granted so far."""
+        return self._retries
+
+    @property
+    def hedges(self) -> int:
+        """Number of hedges granted so far."""
+        return self._hedges
+
+    def record_request(self, now: float) -> None:
+        """Count a first attempt."""
+        self._expire(now)
+        slot_s = self.window_s / self.SLOTS
+        if self._requests and now - self._requests[-1][0] < slot_s:
+            self._requests[-1][1] += 1
+        else:
+            self._requests.append([now, 1])
+        self._request_count += 1
+
+    def allowance(self, now: float) -> int:
+        """Return how many extra attempts are left in the window that ends now."""
+        self._expire(now)
+        allowed = int(self.share * self._request_count + self.floor_per_s * self.window_s)
+        return max(0, allowed - len(self._extra))
+
+    def take_retry(self, now: float) -> bool:
+        """Draw one retry; False if the budget is spent."""
+        granted = self._take(now)
+        self._retries += granted
+        return granted
+
+    def take_hedge(self, now: float) -> bool:
+        """Draw one hedge; False if the budget is spent."""
+        granted = self._take(now)
+        self._hedges += granted
+        return granted
+
+    def _take(self, now: float) -> bool:
+        if self.allowance(now) == 0:
+            return False
+        self._extra.append(now)
+        return True
+
+    def _expire(self, now: float) -> None:
+        # A slot is dated by its first request, so that it never counts for too long.
+        while self._requests and self._requests[0][0] <= now - self.window_s:
+            self._request_count -= int(self._requests.popleft()[1])
+        while self._extra and self._extra[0] <= now - self.window_s:
+            self._extra.popleft()
