--- /dev/null
+++ b/src/jayvalve/internal/programs/handlers.py
@@ -0,0 +1,30 @@
+"""Handlers through which other processes reach the copies held here."""
+
+from jayvalve.internal.programs.copies import CopyStore
+from jayvalve.internal.transport import HandlerTable, PeerContext
+from jayvalve.internal.wire.messages import (
+    Accepted,
+    CopyAck,
+    CopyRead,
+    CopyRelease,
+    CopyState,
+    CopyWrite,
+)
+
+__all__ = ["register_copies"]
+
+
+def register_copies(handlers: HandlerTable, store: CopyStore) -> None:
+    """Answer CopyWrite, CopyRead and CopyRelease from the store."""
+
+    @handlers.on(CopyWrite)
+    async def write(context: PeerContext, message: CopyWrite) -> CopyAck:
+        return store.write(message)
+
+    @handlers.on(CopyRead)
+    async def read(context: PeerContext, message: CopyRead) -> CopyState:
+        return store.read(message)
+
+    @handlers.on(CopyRelease)
+    async def release(context: PeerContext, message: CopyRelease) -> Accepted:
+        return store.release(message)
--- /dev/null
+++ b/src/jayvalve/internal/sidecar/execution.py
@@ -0,0 +1,228 @@
+"""Execution of attempts at the endpoint beside this sidecar."""
+
+import contextlib
+import json
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+from loguru import logger
+
+from jayvalve.errors import DeadlineExceededError, DrainingError, JayvalveError
+from jayvalve.internal.engines import EngineHead, EngineRequest
+from jayvalve.internal.metrics import Metrics
+from jayvalve.internal.scheduling import QueuedCall, Rank
+from jayvalve.internal.sidecar.attempt import Attempt
+from jayvalve.internal.sidecar.attempts import AttemptTable
+from jayvalve.internal.sidecar.fencing import OrderFence, TermTable
+from jayvalve.internal.sidecar.gate import EndpointGate
+from jayvalve.internal.sidecar.release import EngineMemory
+from jayvalve.internal.timing import Clock, Deadline
+from jayvalve.internal.transport import HandlerTable, PeerContext
+from jayvalve.internal.wire.messages import (
+    Accepted,
+    AttemptState,
+    Cancel,
+    Dispatch,
+    Inquire,
+    LoadQuery,
+    LoadReport,
+    Order,
+    ReleaseProgram,
+    Resume,
+)
+from jayvalve.verdict import Verdict
+
+__all__ = ["Execution"]
+
+BYTES_PER_TOKEN = 4
+DEFAULT_OUTPUT_TOKENS = 256
+
+_log = logger.bind(part="sidecar")
+
+
+class Execution:
+    """Answers the messages that concern attempts at the endpoint."""
+
+    def __init__(
+        self,
+        adapter: Any,
+        gate: EndpointGate,
+        attempts: AttemptTable,
+        memory: EngineMemory,
+        metrics: Metrics,
+        clock: Clock,
+        is_draining: Callable[[], bool],
+    ) -> None:
+        self._adapter = adapter
+        self._gate = gate
+        self._attempts = attempts
+        self._memory = memory
+        self._metrics = metrics
+        self._clock = clock
+        self._is_draining = is_draining
+        self._terms = TermTable()
+        self._orders = OrderFence()
+
+    def register(self, handlers: HandlerTable) -> None:
+        """Answer the messages of owners and deciders."""
+        handlers.on(Dispatch)(self.dispatch)
+        handlers.on(Resume)(self.resume)
+        handlers.on(Inquire)(self.inquire)
+        handlers.on(Cancel)(self.cancel)
+        handlers.on(LoadQuery)(self.load)
+        handlers.on(Order)(self.order)
+        handlers.on(ReleaseProgram)(self.release)
+
+    async def dispatch(self, context: PeerContext, message: Dispatch) -> AsyncIterator[Any]:
+        """Run an attempt and yield its answer."""
+        if self._is_draining():
+            raise DrainingError("this endpoint is leaving")
+        self._check_term(message)
+        deadline = Deadline.after(self._clock, message.deadline_ms / 1000)
+        call = self._queued_call(message, deadline)
+        self._gate.check(call)
+
+        async def run(attempt: Attempt) -> None:
+            await self._run(attempt, message, call, deadline)
+
+        self._attempts.begin(message.attempt_id, message.incarnation, run)
+        async with contextlib.aclosing(self._attempts.read(message.attempt_id)) as parts:
+            async for part in parts:
+                yield part
+
+    async def resume(self, context: PeerContext, message: Resume) -> AsyncIterator[Any]:
+        """Yield the rest of an attempt's answer."""
+        reading = self._attempts.read(message.attempt_id, message.next_chunk)
+        async with contextlib.aclosing(reading) as parts:
+            async for part in parts:
+                yield part
+
+    async def inquire(self, context: PeerContext, message: Inquire) -> AttemptState:
+        """Tell what became of an attempt."""
+        return self._attempts.inquire(message.attempt_id, message.incarnation, message.abandon)
+
+    async def cancel(self, context: PeerContext, message: Cancel) -> Accepted:
+        """Stop an attempt."""
+        self._attempts.cancel(message.attempt_id)
+        return Accepted()
+
+    async def load(self, context: PeerContext, message: LoadQuery) -> LoadReport:
+        """Report the present load."""
+        load = self._gate.load()
+        state = "draining" if self._is_draining() else "live"
+        return LoadReport(load["running"], load["waiting"], load["limit"], state=state)
+
+    async def order(self, context: PeerContext, message: Order) -> Accepted:
+        """Pass an order on to the endpoint if its fencing number is the highest."""
+        if self._orders.check(message.fencing):
+            await self._adapter.order(message.action, message.model, message.fencing)
+        return Accepted()
+
+    async def release(self, context: PeerContext, message: ReleaseProgram) -> Accepted:
+        """Free the endpoint's memory of a program that has ended."""
+        self._terms.check(message.program, message.epoch, message.handover)
+        await self._memory.release(message.program)
+        return Accepted()
+
+    def _check_term(self, message: Dispatch) -> None:
+        # A call without a program has no owner that could be replaced.
+        if message.epoch or message.handover:
+            root = message.program.split(".", 1)[0]
+            self._terms.check(root, message.epoch, message.handover)
+
+    def _queued_call(self, message: Dispatch, deadline: Deadline) -> QueuedCall:
+        return QueuedCall(
+            call_id=message.attempt_id,
+            program=message.program.split(".", 1)[0],
+            caller=message.organisation,
+            rank=Rank.URGENT if message.rank == Rank.URGENT else Rank.ORDINARY,
+            attained_tokens=float(message.attained_tokens),
+            cost_tokens=_estimated_cost(message),
+            deadline_s=deadline.at_s,
+            straggler=message.join_straggler,
+            starts_program=message.attained_tokens == 0,
+        )
+
+    async def _run(
+        self, attempt: Attempt, message: Dispatch, call: QueuedCall, deadline: Deadline
+    ) -> None:
+        arrived_s = self._clock.now()
+        await self._gate.enter(call)
+        entered_s = self._clock.now()
+        self._metrics.observe("jayvalve_queue_seconds", entered_s - arrived_s, rank=call.rank)
+        timing = _Timing(entered_s)
+        failed = True
+        try:
+            if deadline.expired:
+                raise DeadlineExceededError(
+                    "the deadline passed in the queue", verdict=Verdict.NOT_RUN
+                )
+            await self._call_endpoint(attempt, message, deadline, timing)
+            failed = False
+        except JayvalveError as error:
+            self._metrics.count("jayvalve_endpoint_failures_total", code=error.code)
+            raise
+        finally:
+            served = call.cost_tokens if timing.first_part_s is not None else 0.0
+            latency_s = None if failed else timing.first_part_latency_s
+            self._gate.leave(call, served, latency_s)
+            if not failed:
+                self._gate.observe_service(served, self._clock.now() - entered_s)
+
+    async def _call_endpoint(
+        self, attempt: Attempt, message: Dispatch, deadline: Deadline, timing: "_Timing"
+    ) -> None:
+        attempt.mark_running()
+        if not message.service:
+            self._memory.note_use(message.program)
+        request = EngineRequest(
+            message.attempt_id,
+            message.program,
+            message.rank,
+            message.method,
+            message.path,
+            message.headers,
+            message.body,
+            message.stream,
+            max(0.001, deadline.remaining_s),
+        )
+        status = 0
+        async with contextlib.aclosing(self._adapter.run(request)) as parts:
+            async for part in parts:
+                timing.note_part(self._clock.now())
+                if isinstance(part, EngineHead):
+                    status = part.status
+                    attempt.set_head(part.status, dict(part.headers))
+                else:
+                    attempt.append(part)
+        attempt.finish(status, load=self._gate.load())
+        self._metrics.count("jayvalve_attempts_total", status=str(status))
+
+
+class _Timing:
+    """Time from the entry of a call to the first part of its answer."""
+
+    def __init__(self, entered_s: float) -> None:
+        self._entered_s = entered_s
+        self.first_part_s: float | None = None
+
+    @property
+    def first_part_latency_s(self) -> float | None:
+        """Seconds until the first part, None before it."""
+        return None if self.first_part_s is None else self.first_part_s - self._entered_s
+
+    def note_part(self, now: float) -> None:
+        if self.first_part_s is None:
+            self.first_part_s = now
+
+
+def _estimated_cost(message: Dispatch) -> float:
+    """Return the estimated tokens of service: the body and the output limit."""
+    cost = len(message.body) / BYTES_PER_TOKEN + 1.0
+    if message.service:
+        return cost
+    try:
+        limit = json.loads(message.body).get("max_tokens")
+    except (ValueError, AttributeError):
+        return cost + DEFAULT_OUTPUT_TOKENS
+    return cost + (limit if type(limit) is int else DEFAULT_OUTPUT_TOKENS)
--- /dev/null
+++ b/src/jayvalve/internal/sidecar/release.py
@@ -0,0 +1,91 @@
+"""Release of the engine memory that ended programs hold."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from loguru import logger
+
+from jayvalve.errors import JayvalveError
+from jayvalve.internal.timing import Clock
+
+__all__ = ["EngineMemory"]
+
+SWEEP_INTERVAL_S = 30.0
+# A program that was used more recently is still under way in all likelihood.
+MIN_IDLE_S = 60.0
+RELEASE_RETRY_S = 1.0
+
+AskStates = Callable[[list[str]], Awaitable[dict[str, str]]]
+
+_log = logger.bind(part="release")
+
+
+class EngineMemory:
+    """Knows which programs hold memory of the endpoint, and frees it.
+
+    The sweep finds the programs whose release message was lost, for example because their
+    owner died.
+    """
+
+    def __init__(
+        self,
+        adapter: Any,
+        ask_states: AskStates,
+        clock: Clock,
+        min_idle_s: float = MIN_IDLE_S,
+        sweep_interval_s: float = SWEEP_INTERVAL_S,
+    ) -> None:
+        self._adapter = adapter
+        self._ask_states = ask_states
+        self._clock = clock
+        self._min_idle_s = min_idle_s
+        self._sweep_interval_s = sweep_interval_s
+        self._last_used_s: dict[str, float] = {}
+
+    @property
+    def programs(self) -> list[str]:
+        """Programs that may hold memory of the endpoint."""
+        return list(self._last_used_s)
+
+    def note_use(self, program: str) -> None:
+        """Record that the endpoint runs a call of the program."""
+        self._last_used_s[program] = self._clock.now()
+
+    async def release(self, root: str) -> None:
+        """Free the memory of a root program and its sub-agents.
+
+        Raises:
+            JayvalveError: the endpoint did not confirm; the sweep will try again.
+        """
+        for program in self.programs:
+            if program == root or program.startswith(f"{root}."):
+                await self._adapter.release(program)
+                self._last_used_s.pop(program, None)
+
+    async def sweep(self) -> int:
+        """Free what belongs to ended or unknown programs; return how many were freed."""
+        limit_s = self._clock.now() - self._min_idle_s
+        idle = [name for name, used_s in self._last_used_s.items() if used_s <= limit_s]
+        if not idle:
+            return 0
+        roots = sorted({name.split(".", 1)[0] for name in idle})
+        states = await self._ask_states(roots)
+        freed = 0
+        for root in roots:
+            if states.get(root) in ("ended", "unknown"):
+                await self.release(root)
+                freed += 1
+        return freed
+
+    async def run(self) -> None:
+        """Sweep until cancelled."""
+        while True:
+            await asyncio.sleep(self._sweep_interval_s)
+            try:
+                freed = await self.sweep()
+            except JayvalveError as error:
+                _log.warning("sweep failed and is repeated: {}", error.message)
+                continue
+            if freed:
+                _log.info("freed the memory of {} ended programs", freed)
