--- /dev/null
+++ b/src/jayvalve/internal/engines/transfer.py
@@ -0,0 +1,207 @@
+"""HTTP transfers through curl that can be aborted and tell whether they were sent."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+import attrs
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.httpclient import HTTPRequest
+from tornado.httputil import HTTPHeaders
+
+from jayvalve.errors import (
+    DeadlineExceededError,
+    EndpointFailedError,
+    InvalidRequestError,
+    JayvalveError,
+)
+from jayvalve.internal.engines.messages import (
+    EngineHead,
+    EngineRequest,
+    end_to_end_headers,
+)
+from jayvalve.verdict import Verdict
+
+__all__ = ["CurlTransferClient", "Transfer"]
+
+# Set by curl itself for the connection to the endpoint.
+REPLACED_HEADERS = frozenset({"host", "content-length", "expect"})
+BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
+MIN_FINAL_STATUS = 200
+_END = object()
+
+
+class CurlTransferClient(CurlAsyncHTTPClient):
+    """Tornado's curl client with an abort.
+
+    Tornado offers no way to end a transfer early: cancelling the future of fetch leaves the
+    request running. This class calls tornado's _finish, the step after a failed transfer,
+    which removes the easy handle from the multi handle and so closes the connection.
+    """
+
+    def initialize(self, *args: Any, **kwargs: Any) -> None:
+        """Set up the client; the arguments are those of CurlAsyncHTTPClient."""
+        self._transfers: dict[pycurl.Curl, Transfer] = {}
+        super().initialize(*args, **kwargs)
+
+    def begin(self, curl: pycurl.Curl, transfer: "Transfer") -> None:
+        """Record the easy handle that runs a transfer."""
+        self._transfers[curl] = transfer
+
+    def abort(self, transfer: "Transfer") -> None:
+        """End a transfer; its connection is closed at once."""
+        transfer.aborted = True
+        for curl, other in list(self._transfers.items()):
+            if other is transfer:
+                self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "transfer aborted")
+                self._process_queue()
+                return
+        transfer.end()
+
+    def abort_all(self) -> None:
+        """End all transfers."""
+        for transfer in list(self._transfers.values()):
+            self.abort(transfer)
+
+    def _finish(
+        self, curl: pycurl.Curl, curl_error: int | None = None, curl_message: str | None = None
+    ) -> None:
+        transfer = self._transfers.pop(curl, None)
+        if transfer is not None:
+            # The handle is reset in super(), which clears these figures. PRETRANSFER_TIME is
+            # of no use here, as curl also sets it when the connection was refused.
+            transfer.sent = (
+                curl.getinfo(pycurl.CONNECT_TIME) > 0 or curl.getinfo(pycurl.REQUEST_SIZE) > 0
+            )
+        super()._finish(curl, curl_error, curl_message)
+
+
+@attrs.define(eq=False)
+class Transfer:
+    """One request through the client.
+
+    Attributes:
+        client: The shared client.
+        url: Scheme, host and port of the endpoint.
+        request: The request.
+        connect_timeout_s: Bound of the connection's set-up.
+        sent: Whether bytes of the request may have reached the endpoint.
+        aborted: Whether the transfer was ended early.
+
+    """
+
+    client: CurlTransferClient
+    url: str
+    request: EngineRequest
+    connect_timeout_s: float
+    sent: bool = False
+    aborted: bool = False
+    _parts: asyncio.Queue[Any] = attrs.field(factory=asyncio.Queue)
+    _lines: list[str] = attrs.field(factory=list)
+    _has_head: bool = False
+
+    async def run(self) -> AsyncIterator[EngineHead | bytes]:
+        """Yield the head, then the body's chunks; leaving early aborts the transfer.
+
+        Chunks wait in memory if the reader is slow, up to the client's max_body_size.
+
+        Raises:
+            EndpointFailedError: not_run if nothing was sent, else may_have_run.
+            DeadlineExceededError: may_have_run; the answer did not end within the timeout.
+            InvalidRequestError: the request cannot be sent.
+
+        """
+        future = self.client.fetch(self._http_request(), raise_error=False)
+        future.add_done_callback(self._on_done)
+        try:
+            while (part := await self._parts.get()) is not _END:
+                yield part
+            self._check(future)
+        finally:
+            if not future.done():
+                self.client.abort(self)
+
+    def end(self) -> None:
+        """Make run end after the parts received so far."""
+        self._parts.put_nowait(_END)
+
+    def _on_done(self, future: asyncio.Future[Any]) -> None:
+        # Reading the exception keeps asyncio from reporting it when the reader has left.
+        if not future.cancelled():
+            future.exception()
+        self.end()
+
+    def _check(self, future: asyncio.Future[Any]) -> None:
+        if self.aborted:
+            raise self._failure(pycurl.E_ABORTED_BY_CALLBACK, "attempt cancelled")
+        try:
+            future.result()
+        except CurlError as error:
+            raise self._failure(error.errno, str(error)) from error
+        except (ValueError, KeyError, pycurl.error, UnicodeError) as error:
+            raise InvalidRequestError(f"request cannot be sent: {error}") from error
+
+    def _failure(self, number: int, message: str) -> JayvalveError:
+        if not self.sent:
+            return EndpointFailedError(f"{self.url}: {message}", verdict=Verdict.NOT_RUN)
+        if number == pycurl.E_OPERATION_TIMEDOUT:
+            return DeadlineExceededError(f"{self.url}: no whole answer in time")
+        return EndpointFailedError(f"{self.url}: {message}")
+
+    def _http_request(self) -> HTTPRequest:
+        request = self.request
+        headers = HTTPHeaders()
+        for name, value in end_to_end_headers(request.headers).items():
+            if name.lower() not in REPLACED_HEADERS:
+                headers.add(name, value)
+        has_body = bool(request.body) or request.method in BODY_METHODS
+        return HTTPRequest(
+            self.url + request.path,
+            method=request.method,
+            headers=headers,
+            body=request.body if has_body else None,
+            allow_nonstandard_methods=True,
+            follow_redirects=False,
+            decompress_response=False,
+            connect_timeout=min(self.connect_timeout_s, request.timeout_s),
+            request_timeout=request.timeout_s,
+            streaming_callback=self._parts.put_nowait,
+            prepare_curl_callback=self._prepare,
+        )
+
+    def _prepare(self, curl: pycurl.Curl) -> None:
+        if self.aborted:
+            raise ValueError("aborted before the start")
+        # curl sends a request again by itself when a reused connection closes without an
+        # answer, also a POST. That would run a request twice, so connections are not reused.
+        curl.setopt(pycurl.FRESH_CONNECT, 1)
+        curl.setopt(pycurl.FORBID_REUSE, 1)
+        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        # The endpoint is on this machine; proxies from the environment must not see it.
+        curl.setopt(pycurl.NOPROXY, "*")
+        # Tornado's header callback runs later in the loop, possibly after the first chunk.
+        curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
+        self.client.begin(curl, self)
+
+    def _on_header(self, data: bytes) -> None:
+        line = data.decode("latin1").rstrip("\r\n")
+        if line.startswith("HTTP/") and not self._has_head:
+            self._lines = [line]
+        elif line:
+            self._lines.append(line)
+        elif not self._has_head:
+            self._emit_head()
+
+    def _emit_head(self) -> None:
+        status = int(self._lines[0].split(" ", 2)[1])
+        if status < MIN_FINAL_STATUS:
+            return
+        self._has_head = True
+        headers: dict[str, str] = {}
+        for line in self._lines[1:]:
+            name, _, value = line.partition(":")
+            name, value = name.strip(), value.strip()
+            headers[name] = f"{headers[name]}, {value}" if name in headers else value
+        headers = end_to_end_headers(headers)
+        self._parts.put_nowait(EngineHead(status, headers))
