--- /dev/null
+++ b/src/jayvalve/cli.py
@@ -0,0 +1,106 @@
+"""The command line."""
+
+import asyncio
+import contextlib
+import pathlib
+import sys
+from typing import Any
+
+import fire
+
+from jayvalve.deployments import DEPLOYMENTS, InProcessDeployment
+from jayvalve.errors import InvalidSettingsError, JayvalveError
+from jayvalve.internal.entry.app import EntryProcess
+from jayvalve.internal.lifecycle import Service, run_until_stopped
+from jayvalve.internal.logging import configure_logging
+from jayvalve.internal.schema import parse_json
+from jayvalve.internal.settings import Settings, load_settings
+from jayvalve.internal.sidecar.app import SidecarProcess
+from jayvalve.standins import run_standin
+
+__all__ = ["Commands", "main"]
+
+EXIT_ERROR = 2
+
+
+def _run_process(process_type: type, config: str) -> None:
+    settings = load_settings(str(config))
+    _configure(settings)
+
+    async def run() -> None:
+        service: Service = process_type.from_config(settings)
+        await run_until_stopped(service)
+
+    asyncio.run(run())
+
+
+def _configure(settings: Settings) -> None:
+    configure_logging(settings.instance, settings.logging.level, settings.logging.json)
+
+
+class Commands:
+    """Scheduler for agent programs in front of model engines and application services."""
+
+    def entry(self, config: str) -> None:
+        """Run an entry: serves callers, owns programs and routes their calls.
+
+        Args:
+            config: Path of the JSON settings file.
+        """
+        _run_process(EntryProcess, config)
+
+    def sidecar(self, config: str) -> None:
+        """Run a sidecar beside one endpoint.
+
+        Args:
+            config: Path of the JSON settings file.
+        """
+        _run_process(SidecarProcess, config)
+
+    def local(self, port: int = 8080, deployment: str = "acquaviva") -> None:
+        """Run a whole deployment on loopback in this process, until SIGTERM.
+
+        Args:
+            port: HTTP port of the first entry; 0 takes a free one.
+            deployment: acquaviva or quotaviva.
+        """
+        configure_logging("local", "WARNING")
+        chosen = DEPLOYMENTS.get(deployment)
+
+        async def run() -> None:
+            await run_until_stopped(InProcessDeployment(chosen, port))
+
+        asyncio.run(run())
+
+    def standin(self, kind: str, config: str = "", port: int = 0) -> None:
+        """Run a stand-in for a service of the platform, for tests and demos.
+
+        Args:
+            kind: model-engine, application-engine, log, instance-list or weight-store.
+            config: Path of a JSON file with the stand-in's settings.
+            port: TCP port on 127.0.0.1; 0 takes a free one.
+        """
+        settings: dict[str, Any] = {}
+        if config:
+            settings = parse_json(_read(config), config)
+            if not isinstance(settings, dict):
+                raise InvalidSettingsError(f"{config}: must be a JSON object")
+        configure_logging(f"standin-{kind}", "WARNING")
+        asyncio.run(run_standin(kind, {"port": port, **settings}))
+
+
+def _read(path: str) -> str:
+    try:
+        return pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise InvalidSettingsError(f"{path}: cannot be read: {error}") from error
+
+
+def main() -> None:
+    """Run the command line; errors give one line and exit code 2."""
+    with contextlib.suppress(KeyboardInterrupt):
+        try:
+            fire.Fire(Commands, name="jayvalve")
+        except JayvalveError as error:
+            print(f"jayvalve: {error.code}: {error.message}", file=sys.stderr)
+            sys.exit(EXIT_ERROR)
--- /dev/null
+++ b/src/jayvalve/deployments/__init__.py
@@ -0,0 +1,18 @@
+"""Deployments that demos, tests and first trials run on loopback."""
+
+from jayvalve.deployments.definitions import (
+    DEPLOYMENTS,
+    Deployment,
+    EndpointPlan,
+    inventory_document,
+)
+from jayvalve.deployments.in_process import InProcessDeployment, publish_document
+
+__all__ = [
+    "DEPLOYMENTS",
+    "Deployment",
+    "EndpointPlan",
+    "InProcessDeployment",
+    "inventory_document",
+    "publish_document",
+]
--- a/src/jayvalve/internal/configuration/sync.py
+++ b/src/jayvalve/internal/configuration/sync.py
@@ -40,9 +40,7 @@
         """Answer ConfigurationRequest with the version in force."""
 
         @handlers.on(ConfigurationRequest)
-        async def reply(
-            context: PeerContext, message: ConfigurationRequest
-        ) -> ConfigurationReply:
+        async def reply(context: PeerContext, message: ConfigurationRequest) -> ConfigurationReply:
             current = self._follower.in_force
             return ConfigurationReply(current.version, current.digest, current.document)
 
--- /dev/null
+++ b/src/jayvalve/internal/entry/app.py
@@ -0,0 +1,404 @@
+"""The entry process."""
+
+import asyncio
+import contextlib
+from typing import Any
+
+from tornado.web import Application
+
+from jayvalve.errors import JayvalveError, PeerUnavailableError
+from jayvalve.internal.claims import ClaimRelays
+from jayvalve.internal.configuration import (
+    BudgetRule,
+    ConfigurationFollower,
+    Document,
+    Renewal,
+    Rules,
+)
+from jayvalve.internal.configuration.sync import ConfigurationSync
+from jayvalve.internal.entry.authentication import TokenTable
+from jayvalve.internal.entry.commands import (
+    ChatCompletionsHandler,
+    EndProgramHandler,
+    ServiceHandler,
+    StartProgramHandler,
+)
+from jayvalve.internal.entry.dispatch import AttemptDispatcher
+from jayvalve.internal.entry.endpoints import EndpointDirectory
+from jayvalve.internal.entry.epochs import EpochSource
+from jayvalve.internal.entry.execution import AttemptIds, ExecutionTools
+from jayvalve.internal.entry.key_claims import KeyClaims
+from jayvalve.internal.entry.placement import ProgramPlacement
+from jayvalve.internal.entry.programs import ProgramCalls
+from jayvalve.internal.entry.queries import (
+    HealthHandler,
+    MetricsHandler,
+    ModelsHandler,
+    ProgramQueryHandler,
+    StatusHandler,
+)
+from jayvalve.internal.entry.service import EntryService
+from jayvalve.internal.limits import OutlierDetector, RetryBudget, RetryPolicy
+from jayvalve.internal.log import LogClient
+from jayvalve.internal.membership import HeartbeatSource, MemberChange
+from jayvalve.internal.programs import CopyStore, OwnershipTable, ProgramId
+from jayvalve.internal.programs.handlers import register_copies
+from jayvalve.internal.runtime import Runtime, holder_name
+from jayvalve.internal.settings import Settings
+from jayvalve.internal.timing import Clock
+from jayvalve.internal.transport import PeerContext
+from jayvalve.internal.wire.messages import (
+    Accepted,
+    HandOver,
+    Heartbeat,
+    Hello,
+    Message,
+    ProgramQuery,
+    ProgramStates,
+)
+
+__all__ = ["EntryProcess"]
+
+ROLE = "entry"
+DRAIN_POLL_S = 0.05
+JOIN_RETRY_S = 1.0
+UPKEEP_INTERVAL_S = 1.0
+DEFAULT_RULES = Rules()
+
+
+class EntryProcess:
+    """Serves callers, owns programs and routes their calls."""
+
+    def __init__(self, settings: Settings, clock: Clock | None = None) -> None:
+        self._settings = settings
+        self._runtime = Runtime(settings, ROLE, clock)
+        self._stack = contextlib.AsyncExitStack()
+        self._clock = self._runtime.clock
+        self._active_requests = 0
+        self._log = LogClient(settings.log_url) if settings.log_url else None
+        self._build_configuration()
+        self._build_programs()
+        self._build_calls()
+
+    @classmethod
+    def from_config(cls, settings: Settings) -> "EntryProcess":
+        """Build the process from its settings."""
+        return cls(settings)
+
+    @property
+    def runtime(self) -> Runtime:
+        """Connections and membership of this process."""
+        return self._runtime
+
+    @property
+    def active_requests(self) -> int:
+        """Number of callers' requests in progress here."""
+        return self._active_requests
+
+    def knows_all_endpoints(self) -> bool:
+        """Return whether the inventory is in force and each of its endpoints is live."""
+        views = self._directory.views()
+        return bool(views) and all(view.state == "live" for view in views)
+
+    @property
+    def rules(self) -> Rules:
+        """The rules in force."""
+        document = self._configuration.current
+        return document.rules if document is not None else DEFAULT_RULES
+
+    def _build_configuration(self) -> None:
+        log = self._log or LogClient("http://127.0.0.1:0")
+        self._configuration = ConfigurationFollower(log)
+        self._sync = ConfigurationSync(self._configuration, self._runtime.pool, self._runtime.spawn)
+        self._renewal = Renewal(
+            log,
+            self._configuration,
+            self._settings.instance,
+            lambda: list(self._entries()),
+            self._settings.retention_seconds,
+        )
+
+    def _build_programs(self) -> None:
+        runtime = self._runtime
+        self._copies = CopyStore(runtime.holder, self._clock, self._settings.history_memory_bytes)
+        epochs = EpochSource(self._log, self._settings.instance, runtime.identity.incarnation)
+        self._table = OwnershipTable(
+            self._copies,
+            self._settings.data_centre,
+            self._send_to_holder,
+            self._holders,
+            epochs.acquire,
+            self._clock,
+        )
+        self._placement = ProgramPlacement(
+            self._settings.instance,
+            runtime.holder,
+            self._table,
+            runtime.view,
+            lambda: runtime.draining,
+        )
+
+    def _build_calls(self) -> None:
+        runtime = self._runtime
+        self._directory = EndpointDirectory(
+            runtime.view,
+            OutlierDetector(),
+            self._settings.routing,
+            self._settings.data_centre,
+            self._clock,
+        )
+        dispatcher = AttemptDispatcher(runtime.pool, runtime.view)
+        self._relays: ClaimRelays | None = None
+        self._claims: KeyClaims | None = None
+        if self._log is not None:
+            self._relays = ClaimRelays(self._log, self._settings.retention_seconds)
+            self._claims = KeyClaims(
+                self._settings.instance,
+                self._relays,
+                runtime.pool,
+                dispatcher,
+                self._entries,
+                self._directory.sidecar,
+                runtime.spawn,
+                self._clock,
+            )
+        tools = ExecutionTools(
+            self._clock,
+            self._directory,
+            dispatcher,
+            RetryPolicy(RetryBudget()),
+            self._claims,
+            runtime.metrics,
+            AttemptIds(runtime.identity.incarnation),
+        )
+        self._calls = ProgramCalls(self._table, tools, runtime.spawn, self._budget_rule)
+        self._service = EntryService(
+            self._placement,
+            self._calls,
+            self._table,
+            self._directory,
+            self._claims,
+            runtime.pool,
+            self._clock,
+            runtime.spawn,
+        )
+
+    async def start(self) -> str:
+        """Open the sockets and start serving."""
+        runtime = self._runtime
+        handlers = runtime.handlers
+        register_copies(handlers, self._copies)
+        self._sync.register(handlers)
+        self._service.register(handlers)
+        if self._claims is not None:
+            self._claims.register(handlers)
+        self._register_programs()
+        if self._relays is not None:
+            self._stack.push_async_callback(self._relays.close)
+        if self._log is not None:
+            self._stack.callback(self._log.close)
+        self._configuration.subscribe(self._on_configuration)
+        runtime.view.subscribe(self._on_member_change)
+        source = HeartbeatSource(lambda: runtime.state, self._sync.advertised)
+        await runtime.open(self._application(), source, self._on_heartbeat)
+        self._stack.push_async_callback(runtime.close)
+        if self._log is not None:
+            runtime.spawn(self._configuration.run())
+            runtime.spawn(self._renewal.run())
+            runtime.spawn(self._join())
+        runtime.spawn(self._upkeep())
+        return f"entry {self._settings.instance} ready on http://{runtime.http_address}"
+
+    async def drain(self) -> None:
+        """Finish requests in progress and hand all programs to other entries."""
+        self._runtime.start_draining()
+        await asyncio.sleep(self._settings.balancer_delay_seconds)
+        limit_s = self._clock.now() + self._settings.drain_seconds
+        while self._clock.now() < limit_s:
+            await self._hand_over_idle()
+            if not self._table.programs and not self._active_requests:
+                break
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    async def stop(self) -> None:
+        """Release everything."""
+        await self._stack.aclose()
+
+    def status(self) -> dict[str, Any]:
+        """Return the status document."""
+        view = self._runtime.view
+        return {
+            "instance": self._settings.instance,
+            "role": ROLE,
+            "data_centre": self._settings.data_centre,
+            "state": self._runtime.state,
+            "epoch": self._table.epoch,
+            "configuration_version": self._configuration.version,
+            "programs": len(self._table.programs),
+            "calls": self._calls.running,
+            "copy_bytes": self._copies.bytes_held,
+            "members": [
+                {
+                    "instance": member.instance,
+                    "role": member.role,
+                    "data_centre": member.data_centre,
+                    "state": str(member.state),
+                }
+                for member in view.members
+            ],
+            "endpoints": [
+                {
+                    "name": endpoint.name,
+                    "data_centre": endpoint.data_centre,
+                    "state": str(endpoint.state),
+                    "running": endpoint.load.running,
+                    "waiting": endpoint.load.waiting,
+                }
+                for endpoint in self._directory.views()
+            ],
+        }
+
+    async def _serve(self, request: Any) -> Any:
+        self._active_requests += 1
+        try:
+            async for part in self._service.serve(request):
+                yield part
+        finally:
+            self._active_requests -= 1
+
+    def _application(self) -> Application:
+        tokens = TokenTable(self._settings.callers)
+        caller = {"tokens": tokens, "serve": self._serve}
+        return Application(
+            [
+                ("/v1/chat/completions", ChatCompletionsHandler, caller),
+                ("/v1/services/.*", ServiceHandler, caller),
+                ("/v1/programs", StartProgramHandler, caller),
+                ("/v1/programs/[^/]+/end", EndProgramHandler, caller),
+                ("/v1/programs/[^/]+(?:/history)?", ProgramQueryHandler, caller),
+                ("/v1/keys/[^/]+", ProgramQueryHandler, caller),
+                ("/v1/models", ModelsHandler, {"tokens": tokens, "models": self._directory.models}),
+                ("/healthz", HealthHandler, {"state": self._health}),
+                ("/metrics", MetricsHandler, {"metrics": self._runtime.metrics}),
+                ("/status", StatusHandler, {"status": self.status}),
+            ],
+            log_function=lambda handler: None,
+        )
+
+    def _health(self) -> str:
+        if self._runtime.state == "live" and self._configuration.version == 0:
+            return "starting"
+        return self._runtime.state
+
+    def _register_programs(self) -> None:
+        handlers = self._runtime.handlers
+
+        @handlers.on(HandOver)
+        async def hand_over(context: PeerContext, message: HandOver) -> Accepted:
+            return await self._table.accept_hand_over(message)
+
+        @handlers.on(ProgramQuery)
+        async def states(context: PeerContext, message: ProgramQuery) -> ProgramStates:
+            found = [await self._program_state(key) for key in message.programs]
+            return ProgramStates(found)
+
+    async def _program_state(self, key: str) -> str:
+        identity = ProgramId.from_key(key)
+        if self._table.get(identity) is not None:
+            return "active"
+        try:
+            location = await self._table.lookup(identity)
+        except JayvalveError:
+            return "undecided"
+        if location is None:
+            return "unknown"
+        return "ended" if location.ended else "active"
+
+    def _entries(self) -> dict[str, str]:
+        """Return the live entries, this one included, as instance to address."""
+        identity = self._runtime.identity
+        found = {member.instance: member.address for member in self._runtime.view.live(ROLE)}
+        return {**found, identity.instance: identity.address}
+
+    def _holders(self) -> list[tuple[str, str]]:
+        """Return the processes that may hold copies, with their data centres."""
+        return [
+            (holder_name(member.instance, member.incarnation), member.data_centre)
+            for member in self._runtime.view.usable()
+        ]
+
+    async def _send_to_holder(self, name: str, message: Message, timeout_s: float) -> Message:
+        instance, _, incarnation = name.rpartition("#")
+        member = self._runtime.view.get(instance)
+        if member is None or str(member.incarnation) != incarnation:
+            raise PeerUnavailableError(f"{name} is not known or was replaced")
+        return await self._runtime.pool.call(member.address, message, timeout_s)
+
+    def _budget_rule(self) -> BudgetRule:
+        return self.rules.budget
+
+    def _on_heartbeat(self, peer: Hello, heartbeat: Heartbeat) -> None:
+        self._sync.observe(peer, heartbeat)
+        if heartbeat.load:
+            member = self._runtime.view.get(peer.instance)
+            name = self._directory.endpoint_of(member) if member is not None else None
+            if name is not None:
+                self._directory.observe_load(name, heartbeat.load)
+
+    def _on_configuration(self, version: int, document: Document) -> None:
+        self._directory.set_document(document)
+
+    def _on_member_change(self, change: MemberChange) -> None:
+        if self._relays is not None and change.member.role == ROLE:
+            self._relays.prepare(self._settings.instance, sorted(self._entries()))
+
+    async def _join(self) -> None:
+        while self._table.epoch is None:
+            try:
+                await self._table.join()
+            except JayvalveError:
+                await asyncio.sleep(JOIN_RETRY_S)
+
+    async def _upkeep(self) -> None:
+        while True:
+            await asyncio.sleep(UPKEEP_INTERVAL_S)
+            for identity in self._calls.idle_programs(self.rules.program_idle_s):
+                with contextlib.suppress(JayvalveError):
+                    await self._service.end_program(identity)
+            await self._repair_copy_sets()
+            await self._return_programs()
+
+    async def _repair_copy_sets(self) -> None:
+        """Replace members of copy sets that are gone."""
+        alive = {name for name, _ in self._holders()} | {self._runtime.holder}
+        for key in self._table.programs:
+            identity = ProgramId.from_key(key)
+            owned = self._table.get(identity)
+            if owned is None or alive.issuperset(*owned.writer.sets):
+                continue
+            with contextlib.suppress(JayvalveError):
+                await self._table.change_copy_set(identity)
+
+    async def _return_programs(self) -> None:
+        """Hand idle programs to the entry that comes first in their rendezvous order."""
+        if not self._runtime.draining:
+            await self._hand_over_idle()
+
+    async def _hand_over_idle(self) -> None:
+        for key in self._table.programs:
+            identity = ProgramId.from_key(key)
+            owned = self._table.get(identity)
+            successor = self._placement.preferred_owner(key)
+            if owned is None or successor in (None, self._settings.instance):
+                continue
+            if not self._calls.is_idle(identity):
+                continue
+            member = self._runtime.view.get(successor)
+            if member is None:
+                continue
+            with contextlib.suppress(JayvalveError):
+                await self._table.hand_over(
+                    identity, holder_name(member.instance, member.incarnation)
+                )
+            if self._table.get(identity) is None:
+                self._calls.forget(owned)
--- a/src/jayvalve/internal/entry/dispatch.py
+++ b/src/jayvalve/internal/entry/dispatch.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
+import attrs
 from loguru import logger
 
 from jayvalve.errors import (
@@ -85,26 +86,13 @@
     async def _follow(
         self, sidecar: Member, message: Any, attempt_id: str, deadline: Deadline
     ) -> AsyncIterator[ResponseHead | Chunk | Completed]:
-        has_head = False
-        next_chunk = 0
+        progress = _Progress()
         while True:
             try:
                 timeout_s = deadline.remaining_s + DEADLINE_GRACE_S
                 async for part in self._pool.stream(sidecar.address, message, timeout_s):
-                    if isinstance(part, Chunk):
-                        if part.index != next_chunk:
-                            continue
-                        next_chunk += 1
-                    elif isinstance(part, ResponseHead):
-                        if has_head:
-                            continue
-                        has_head = True
-                    elif part.chunks != next_chunk:
-                        raise PeerUnavailableError(
-                            f"answer has {part.chunks} chunks, {next_chunk} arrived",
-                            verdict=Verdict.MAY_HAVE_RUN,
-                        )
-                    yield part
+                    if progress.accept(part):
+                        yield part
                     if isinstance(part, Completed):
                         return
             except PeerUnavailableError as error:
@@ -112,7 +100,7 @@
                     raise
                 _log.info("attempt {} lost its connection: {}", attempt_id, error.message)
                 await self._require_started(sidecar, attempt_id, deadline)
-                message = Resume(attempt_id, next_chunk)
+                message = Resume(attempt_id, progress.next_chunk)
 
     async def _require_started(self, sidecar: Member, attempt_id: str, deadline: Deadline) -> None:
         """Return if the attempt has started and can be resumed."""
@@ -140,6 +128,34 @@
         return await self._pool.call(sidecar.address, inquiry, INQUIRY_TIMEOUT_S)
 
 
+@attrs.define
+class _Progress:
+    """What has arrived of an answer, over all connections."""
+
+    next_chunk: int = 0
+    has_head: bool = False
+
+    def accept(self, part: Any) -> bool:
+        """Return whether a part is new and in order.
+
+        Raises:
+            PeerUnavailableError: the answer ended although parts are missing.
+        """
+        if isinstance(part, Chunk):
+            is_next = part.index == self.next_chunk
+            self.next_chunk += is_next
+            return is_next
+        if isinstance(part, ResponseHead):
+            is_first, self.has_head = not self.has_head, True
+            return is_first
+        if part.chunks != self.next_chunk:
+            raise PeerUnavailableError(
+                f"answer has {part.chunks} chunks, {self.next_chunk} arrived",
+                verdict=Verdict.MAY_HAVE_RUN,
+            )
+        return True
+
+
 def _incarnation_ended(sidecar: Member) -> EndpointFailedError:
     return EndpointFailedError(
         f"sidecar {sidecar.instance} ended while it ran the attempt", verdict=Verdict.MAY_HAVE_RUN
--- a/src/jayvalve/internal/entry/endpoints.py
+++ b/src/jayvalve/internal/entry/endpoints.py
@@ -56,11 +56,10 @@
         self._outliers = outliers
         self._clock = clock
         self._cache = CacheView()
-        self._router = Router(
-            policy, self._cache, Distances(data_centre), rng or random.Random()
-        )
+        self._router = Router(policy, self._cache, Distances(data_centre), rng or random.Random())
         self._endpoints: dict[str, Endpoint] = {}
         self._views: dict[str, EndpointView] = {}
+        self._used_by: dict[str, set[str]] = {}
 
     @property
     def cache(self) -> CacheView:
@@ -103,6 +102,22 @@
         if name not in self.models():
             raise ModelUnknownError(f"model {name!r} is not in the inventory")
 
+    def forget_program(self, key: str) -> list[Member]:
+        """Return the sidecars that ran calls of a root program, and forget about it."""
+        names = self._used_by.pop(key, set()) & self._endpoints.keys()
+        return [sidecar for name in names if (sidecar := self._sidecar(name)) is not None]
+
+    def note_use(self, key: str, endpoint: str) -> None:
+        """Record that a call of a root program goes to the endpoint."""
+        self._used_by.setdefault(key, set()).add(endpoint)
+
+    def sidecar(self, name: str, incarnation: int) -> Member | None:
+        """Return the sidecar of an endpoint if this incarnation is still known to run."""
+        if name not in self._endpoints:
+            return None
+        member = self._sidecar(name)
+        return member if member is not None and member.incarnation == incarnation else None
+
     def views(self) -> list[EndpointView]:
         """Return all endpoints with their present state."""
         now = self._clock.now()
--- /dev/null
+++ b/src/jayvalve/internal/entry/epochs.py
@@ -0,0 +1,49 @@
+"""Epochs of an entry, taken from the offsets of the ownership stream."""
+
+import asyncio
+
+import msgpack
+from loguru import logger
+
+from jayvalve.errors import LogAnswerLostError, LogUnavailableError
+from jayvalve.internal.log import LogClient
+
+__all__ = ["STREAM", "EpochSource"]
+
+STREAM = "ownership"
+# Offsets start at 0, which is the term of programs that nobody has owned yet.
+FIRST_EPOCH = 1
+ATTEMPTS_AFTER_LOST_ANSWER = 3
+RETRY_INTERVAL_S = 0.2
+
+_log = logger.bind(part="ownership")
+
+
+class EpochSource:
+    """Appends join and takeover records; the offset of the record is the epoch."""
+
+    def __init__(self, log: LogClient | None, instance: str, incarnation: int) -> None:
+        self._log = log
+        self._instance = instance
+        self._incarnation = incarnation
+
+    async def acquire(self, reason: str) -> int:
+        """Return an epoch that is higher than all earlier ones.
+
+        Raises:
+            LogUnavailableError: the log took no record.
+        """
+        if self._log is None:
+            raise LogUnavailableError("this entry has no log service and can own no programs")
+        record = msgpack.packb([reason, self._instance, self._incarnation])
+        for _ in range(ATTEMPTS_AFTER_LOST_ANSWER):
+            try:
+                offset = await self._log.append(STREAM, record)
+            except LogAnswerLostError as error:
+                # A record whose answer was lost is an epoch that nobody uses.
+                _log.warning("answer to an append was lost: {}", error.message)
+                await asyncio.sleep(RETRY_INTERVAL_S)
+                continue
+            _log.info("epoch {} for {}", offset + FIRST_EPOCH, reason)
+            return offset + FIRST_EPOCH
+        raise LogUnavailableError("the log does not confirm appends")
--- a/src/jayvalve/internal/entry/execution.py
+++ b/src/jayvalve/internal/entry/execution.py
@@ -16,16 +16,16 @@
     KeyRequiredError,
     MayHaveRunError,
 )
-from jayvalve.internal.entry.key_claims import ClaimGrant, KeyClaims
 from jayvalve.internal.entry.answers import EventSplitter, summarize
 from jayvalve.internal.entry.call_stream import CallStream
 from jayvalve.internal.entry.dispatch import AttemptDispatcher
 from jayvalve.internal.entry.endpoints import EndpointDirectory, Target
 from jayvalve.internal.entry.journal import Answer, Journal
+from jayvalve.internal.entry.key_claims import ClaimGrant, KeyClaims
 from jayvalve.internal.entry.request import CallRequest
 from jayvalve.internal.hashing import digest
 from jayvalve.internal.limits import RetryPolicy
-from jayvalve.internal.membership import MembershipView
+from jayvalve.internal.membership import Member
 from jayvalve.internal.metrics import Metrics
 from jayvalve.internal.programs import Amount, Intent, Term
 from jayvalve.internal.routing import Capability, Prefix, RoutingCall
@@ -57,7 +57,6 @@
     clock: Clock
     directory: EndpointDirectory
     dispatcher: AttemptDispatcher
-    membership: MembershipView
     retries: RetryPolicy
     claims: KeyClaims | None
     metrics: Metrics
@@ -93,6 +92,7 @@
         self._stream = stream
         self._deadline = deadline
         self._excluded: set[str] = set()
+        self._may_have_run = False
         self._messages = self._all_messages()
         self._repeatable = self._is_repeatable()
 
@@ -142,7 +142,11 @@
             deadline=self._deadline,
             now=self._tools.clock.now(),
         )
+        self._may_have_run |= error.verdict is not Verdict.NOT_RUN
         if not decision.retry or self._stream.started:
+            if self._may_have_run and error.verdict is Verdict.NOT_RUN:
+                # An earlier attempt of this request may have run.
+                error.verdict = Verdict.MAY_HAVE_RUN
             raise error
         _log.info("attempt {} of {} failed ({}); retrying", attempt, self._call.program, error.code)
         self._tools.metrics.count("jayvalve_retries_total", code=error.code)
@@ -153,9 +157,9 @@
             raise DeadlineExceededError("the deadline has passed", verdict=Verdict.NOT_RUN)
         target = self._tools.directory.choose(self._routing_call(attempt_id))
         started_s = self._tools.clock.now()
+        self._journal.note_endpoint(target.endpoint.name)
         try:
             body, amount = self._prepare_body()
-            await self._journal.intend(self._intent_fields(attempt_id, target), amount)
             answer = await self._attempt_at(target, attempt_id, body, amount)
         except JayvalveError as error:
             self._excluded.add(target.view.name)
@@ -221,6 +225,7 @@
     ) -> Answer:
         grant: ClaimGrant | None = None
         try:
+            await self._journal.intend(self._intent_fields(attempt_id, target), amount)
             if not self._repeatable:
                 grant = await self._claim(target, attempt_id)
                 if grant.answer is not None:
@@ -340,7 +345,11 @@
                 messages = [*self._messages, summary.message]
         if grant is not None and self._tools.claims is not None:
             self._tools.claims.report(grant, answer.status, answer.headers, answer.body)
-        await self._journal.end_turn(attempt_id, used, answer, self.digest, messages)
+        try:
+            await self._journal.end_turn(attempt_id, used, answer, self.digest, messages)
+        except JayvalveError as error:
+            # The call ran, whatever kept its turn from being replicated.
+            raise MayHaveRunError(f"the turn could not be replicated: {error.message}") from error
 
     async def _finish_known(self, attempt_id: str, grant: ClaimGrant) -> Answer:
         """Return the outcome that the log already holds for the key."""
@@ -367,7 +376,7 @@
         intent = self._journal.open_intent(self._turn)
         if intent is None:
             return None
-        sidecar = self._sidecar_of(intent)
+        sidecar = self._tools.directory.sidecar(intent.endpoint, intent.incarnation)
         if sidecar is None:
             await self._journal.end_attempt(intent.attempt_id, intent.reservation.amount)
             return None
@@ -377,7 +386,7 @@
             return None
         return await self._recover(sidecar, intent)
 
-    async def _recover(self, sidecar: Any, intent: Intent) -> Answer | None:
+    async def _recover(self, sidecar: Member, intent: Intent) -> Answer | None:
         amount = intent.reservation.amount
         parts = self._tools.dispatcher.recover(sidecar, intent.attempt_id, self._deadline)
         try:
@@ -388,14 +397,6 @@
                 raise
             return None
 
-    def _sidecar_of(self, intent: Intent) -> Any:
-        for endpoint in self._tools.directory.endpoints:
-            if endpoint.name == intent.endpoint:
-                member = self._tools.membership.by_address(endpoint.address)
-                if member is not None and member.incarnation == intent.incarnation:
-                    return member
-        return None
-
 
 def request_digest(call: CallRequest) -> str:
     """Return a checksum of what a repeated request must have in common."""
--- a/src/jayvalve/internal/entry/key_claims.py
+++ b/src/jayvalve/internal/entry/key_claims.py
@@ -134,9 +134,7 @@
                 return ClaimGrant(request, decision.claim_offset, answer)
             number = decision.attempt_number + 1
 
-    def report(
-        self, grant: ClaimGrant, status: int, headers: dict[str, str], body: bytes
-    ) -> None:
+    def report(self, grant: ClaimGrant, status: int, headers: dict[str, str], body: bytes) -> None:
         """Record in the background that a claimed call ran."""
         report = _report(grant.request, Verdict.RAN, status, headers, body)
         self._spawn(self._report_until_taken(report))
--- /dev/null
+++ b/src/jayvalve/internal/entry/placement.py
@@ -0,0 +1,121 @@
+"""Finding or becoming the owner of a program."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from loguru import logger
+
+from jayvalve.errors import OwnerUnavailableError, ProgramEndedError, ProgramUnknownError
+from jayvalve.internal.hashing import rendezvous_order
+from jayvalve.internal.membership import Member, MembershipView
+from jayvalve.internal.programs import Location, OwnedProgram, OwnershipTable, ProgramId
+
+__all__ = ["ProgramPlacement"]
+
+ENTRY = "entry"
+MAX_HOPS = 3
+
+_log = logger.bind(part="ownership")
+
+
+class ProgramPlacement:
+    """Decides where a request of a program runs.
+
+    The first entry in the rendezvous order of the root program looks the program up in the
+    copies, so that it neither creates a program that exists nor takes one from a live owner.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        holder: str,
+        table: OwnershipTable,
+        view: MembershipView,
+        is_draining: Callable[[], bool],
+    ) -> None:
+        self._instance = instance
+        self._holder = holder
+        self._table = table
+        self._view = view
+        self._is_draining = is_draining
+        self._locks: dict[str, asyncio.Lock] = {}
+
+    def preferred_owner(self, key: str) -> str | None:
+        """Return the first entry, this one included unless it drains, or None."""
+        entries = [member.instance for member in self._view.live(ENTRY)]
+        if not self._is_draining():
+            entries.append(self._instance)
+        return rendezvous_order(key, entries)[0] if entries else None
+
+    async def place(
+        self, identity: ProgramId, hops: int, limits: list[Any] | None
+    ) -> OwnedProgram | Member:
+        """Return the program if it is owned here, else the entry to ask.
+
+        limits are those of a program that may be created, or None.
+
+        Raises:
+            ProgramUnknownError: the program exists nowhere and may not be created.
+            ProgramEndedError: the program has ended.
+            OwnerUnavailableError: no owner can be found or made now.
+        """
+        key = identity.root.key
+        owned = self._table.get(identity)
+        if owned is not None and not owned.handing_over:
+            return owned
+        preferred = self.preferred_owner(key)
+        if hops == 0 and preferred is not None and preferred != self._instance:
+            member = self._view.get(preferred)
+            if member is not None:
+                return member
+        lock = self._locks.setdefault(key, asyncio.Lock())
+        try:
+            async with lock:
+                return await self._find_or_acquire(identity, hops, limits)
+        finally:
+            if not lock.locked():
+                self._locks.pop(key, None)
+
+    async def _find_or_acquire(
+        self, identity: ProgramId, hops: int, limits: list[Any] | None
+    ) -> OwnedProgram | Member:
+        owned = self._table.get(identity)
+        if owned is not None and not owned.handing_over:
+            return owned
+        location = await self._table.lookup(identity)
+        if location is None:
+            return await self._create(identity, limits)
+        if location.ended:
+            raise ProgramEndedError(f"program {identity.name} has ended")
+        owner = self._living_owner(location)
+        if owner is not None:
+            if hops >= MAX_HOPS:
+                raise OwnerUnavailableError(f"program {identity.name} is changing its owner")
+            return owner
+        _log.info("taking over program {} from {}", identity.root.key, location.owner)
+        await self._table.take_over(identity)
+        return self._require(identity)
+
+    async def _create(self, identity: ProgramId, limits: list[Any] | None) -> OwnedProgram:
+        if limits is None:
+            raise ProgramUnknownError(f"program {identity.name} is not known")
+        if self._is_draining():
+            raise OwnerUnavailableError("this entry is leaving and creates no programs")
+        await self._table.create(identity, limits)
+        return self._require(identity)
+
+    def _require(self, identity: ProgramId) -> OwnedProgram:
+        owned = self._table.get(identity)
+        if owned is None:
+            raise OwnerUnavailableError(f"program {identity.name} is changing its owner")
+        return owned
+
+    def _living_owner(self, location: Location) -> Member | None:
+        instance, _, incarnation = location.owner.rpartition("#")
+        if location.owner == self._holder:
+            return None
+        member = self._view.get(instance)
+        if member is None or str(member.incarnation) != incarnation or member.state.is_gone:
+            return None
+        return member
--- a/src/jayvalve/internal/entry/programs.py
+++ b/src/jayvalve/internal/entry/programs.py
@@ -47,9 +47,7 @@
     parts: list[Any] = [ResponseHead(answer.status, answer.headers)]
     if answer.body:
         parts.append(Chunk(0, answer.body))
-    parts.append(
-        Completed(answer.status, str(answer.verdict), len(parts) - 1, digest(answer.body))
-    )
+    parts.append(Completed(answer.status, str(answer.verdict), len(parts) - 1, digest(answer.body)))
     return parts
 
 
@@ -105,14 +103,16 @@
         if owned is None:
             return True
         return all(
-            not agent.streams
-            for (owner, _), agent in self._agents.items()
-            if owner == id(owned)
+            not agent.streams for (owner, _), agent in self._agents.items() if owner == id(owned)
         )
 
     def limits_of(self, call: CallRequest) -> list[Any]:
         """Return the limits for a program that starts with this call."""
-        return budget_limits(call.budget, self._budget_rule())
+        return self.limits_from(call.budget)
+
+    def limits_from(self, stated: BudgetLimits) -> list[Any]:
+        """Return the limits for a program that starts with these."""
+        return budget_limits(stated, self._budget_rule())
 
     def run_single(self, call: CallRequest) -> CallStream:
         """Run a call without a program."""
@@ -152,16 +152,14 @@
         key = (id(owned), identity.name)
         if key not in self._agents:
             state = owned.program.agent(identity.name)
-            sequence = TurnSequence(self._tools.clock, state.last_turn)
+            sequence = TurnSequence(self._tools.clock, state.last_turn, stores_failures=False)
             for turn in state.turns.values():
                 answer = Answer.decode(turn.status, turn.verdict, turn.answer)
                 sequence.restore(turn.turn, turn.request_id, turn.digest, answer)
             self._agents[key] = _AgentCalls(sequence)
         return self._agents[key]
 
-    async def _start_agent(
-        self, program: Program, identity: ProgramId, call: CallRequest
-    ) -> None:
+    async def _start_agent(self, program: Program, identity: ProgramId, call: CallRequest) -> None:
         parent = identity.parent
         if parent is None or parent.name not in program.agents:
             raise ProgramUnknownError(f"the parent of program {identity.name} is not known")
@@ -194,11 +192,11 @@
             deadline = self._deadline(owned.program, identity, call)
 
             async def execute(turn: int) -> Answer:
-                journal = ProgramJournal(self._table, owned.program, identity)
-                term = owned.writer.term
-                execution = CallExecution(
-                    self._tools, call, turn, journal, term, stream, deadline
+                journal = ProgramJournal(
+                    self._table, owned.program, identity, self._tools.directory.note_use
                 )
+                term = owned.writer.term
+                execution = CallExecution(self._tools, call, turn, journal, term, stream, deadline)
                 return await execution.run()
 
             turn_call = TurnCall(call.request_id, request_digest(call), deadline, call.turn)
--- a/src/jayvalve/internal/programs/sequence.py
+++ b/src/jayvalve/internal/programs/sequence.py
@@ -51,10 +51,15 @@
 
 
 class TurnSequence:
-    """Runs the calls of one program one after the other and answers repeats."""
+    """Runs the calls of one program one after the other and answers repeats.
 
-    def __init__(self, clock: Clock, last_turn: int = 0) -> None:
+    With stores_failures, a failure whose verdict is not not_run ends its turn. Without it, any
+    failure frees the turn; the caller must then have another guard against a second run.
+    """
+
+    def __init__(self, clock: Clock, last_turn: int = 0, *, stores_failures: bool = True) -> None:
         self._clock = clock
+        self._stores_failures = stores_failures
         self._last_turn = last_turn
         self._entries: list[_Entry] = []
         self._stored: OrderedDict[int, _Stored] = OrderedDict()
@@ -143,7 +148,7 @@
         finally:
             self._entries.remove(entry)
             self._notify()
-        if entry.started and not _not_run(answer):
+        if entry.started and not self._frees_turn(answer):
             self._store(_Stored(turn, entry.call.request_id, entry.call.digest, answer))
         entry.outcome.set_result(answer)
 
@@ -194,6 +199,11 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _frees_turn(self, answer: Any) -> bool:
+        if not isinstance(answer, Exception):
+            return False
+        return not self._stores_failures or _not_run(answer)
+
     def _store(self, stored: _Stored) -> None:
         self._last_turn = max(self._last_turn, stored.turn)
         self._stored[stored.turn] = stored
--- a/src/jayvalve/internal/runtime.py
+++ b/src/jayvalve/internal/runtime.py
@@ -25,7 +25,7 @@
 from jayvalve.internal.transport import HandlerTable, PeerPool, PeerServer
 from jayvalve.internal.wire.messages import Hello
 
-__all__ = ["Runtime"]
+__all__ = ["Runtime", "holder_name"]
 
 # Large enough that a process restarted at once gets a higher number.
 INCARNATION_RESOLUTION_PER_S = 1000
@@ -40,6 +40,11 @@
     return sockets, f"{host}:{sockets[0].getsockname()[1]}"
 
 
+def holder_name(instance: str, incarnation: int) -> str:
+    """Return the name of one incarnation of a process."""
+    return f"{instance}#{incarnation}"
+
+
 class Runtime:
     """Owns the sockets, connections, membership and background tasks of one process.
 
@@ -83,6 +88,11 @@
         """How this process introduces itself."""
         return self._identity
 
+    @property
+    def holder(self) -> str:
+        """Name of this process in copy sets; it differs between two incarnations."""
+        return holder_name(self._identity.instance, self._identity.incarnation)
+
     @property
     def http_address(self) -> str:
         """IP address and port of the HTTP server."""
--- a/src/jayvalve/internal/sidecar/app.py
+++ b/src/jayvalve/internal/sidecar/app.py
@@ -56,16 +56,12 @@
         identity = self._runtime.identity
         self._attempts = AttemptTable(identity.incarnation, self._clock)
         self._memory = EngineMemory(self._adapter, self._ask_states, self._clock)
-        self._copies = CopyStore(
-            identity.holder, self._clock, settings.history_memory_bytes
-        )
+        self._copies = CopyStore(self._runtime.holder, self._clock, settings.history_memory_bytes)
         log = LogClient(settings.log_url) if settings.log_url else None
         self._log_client = log
         # Without a log of its own, a sidecar gets the configuration from its peers alone.
         self._configuration = ConfigurationFollower(log or LogClient("http://127.0.0.1:0"))
-        self._sync = ConfigurationSync(
-            self._configuration, self._runtime.pool, self._runtime.spawn
-        )
+        self._sync = ConfigurationSync(self._configuration, self._runtime.pool, self._runtime.spawn)
 
     @classmethod
     def from_config(cls, settings: Settings) -> "SidecarProcess":
@@ -77,6 +73,11 @@
         """Connections and membership of this process."""
         return self._runtime
 
+    @property
+    def settings(self) -> Settings:
+        """Settings of this process."""
+        return self._settings
+
     async def start(self) -> str:
         """Open the sockets and start serving."""
         await self._stack.enter_async_context(self._adapter)
--- a/src/jayvalve/internal/sidecar/gate.py
+++ b/src/jayvalve/internal/sidecar/gate.py
@@ -64,9 +64,11 @@
 
     def set_rules(self, rules: Rules) -> None:
         """Follow a new configuration."""
-        set_shares = getattr(self._queue, "set_shares", None)
-        if set_shares is not None:
-            set_shares(rules.ordinary_floor, rules.urgent.worth, rules.ordinary.worth)
+        balance = getattr(self._queue, "balance", None)
+        if balance is not None:
+            balance.floor = rules.ordinary_floor
+            balance.worth_urgent = rules.urgent.worth
+            balance.worth_ordinary = rules.ordinary.worth
 
     def check(self, call: QueuedCall) -> None:
         """Raise an error with verdict not_run unless the call may wait."""
