--- a/src/jayvalve/cli.py
+++ b/src/jayvalve/cli.py
@@ -8,6 +8,7 @@
 
 import fire
 
+from jayvalve.demo import run_demo
 from jayvalve.deployments import DEPLOYMENTS, InProcessDeployment
 from jayvalve.errors import InvalidSettingsError, JayvalveError
 from jayvalve.internal.entry.app import EntryProcess
@@ -20,6 +21,7 @@
 
 __all__ = ["Commands", "main"]
 
+EXIT_FAILED = 1
 EXIT_ERROR = 2
 
 
@@ -72,6 +74,12 @@
 
         asyncio.run(run())
 
+    def demo(self) -> None:
+        """Run both deployments as separate processes with faults and check the promises."""
+        configure_logging("demo", "WARNING")
+        if not run_demo():
+            sys.exit(EXIT_FAILED)
+
     def standin(self, kind: str, config: str = "", port: int = 0) -> None:
         """Run a stand-in for a service of the platform, for tests and demos.
 
--- /dev/null
+++ b/src/jayvalve/deployments/processes.py
@@ -0,0 +1,266 @@
+"""A deployment as separate processes on loopback, which a test can kill, pause and stop."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+from typing import Any
+
+import attrs
+from tornado.httpclient import AsyncHTTPClient, HTTPError
+
+from jayvalve.deployments.definitions import Deployment, inventory_document
+from jayvalve.deployments.in_process import publish_document
+from jayvalve.errors import InternalError
+
+__all__ = ["ProcessDeployment", "free_ports"]
+
+LOOPBACK = "127.0.0.1"
+READY_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 30.0
+POLL_INTERVAL_S = 0.05
+REQUEST_TIMEOUT_S = 2.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Return free TCP ports on loopback; all are held until the last one is known."""
+    with contextlib.ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            held = stack.enter_context(socket.socket())
+            held.bind((LOOPBACK, 0))
+            ports.append(held.getsockname()[1])
+        return ports
+
+
+@attrs.define
+class _Process:
+    """One process: its command line, log file and, while it runs, its handle."""
+
+    name: str
+    arguments: list[str]
+    log_path: pathlib.Path
+    handle: subprocess.Popen[bytes] | None = None
+
+
+class ProcessDeployment:
+    """Starts and stops the processes of a deployment by name.
+
+    Args:
+        deployment: What to run.
+        directory: Where settings and log files go.
+        settings: Settings that are added to those of every entry and sidecar.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        directory: pathlib.Path,
+        settings: dict[str, Any] | None = None,
+        standin_settings: dict[str, dict[str, Any]] | None = None,
+    ) -> None:
+        self._deployment = deployment
+        self._directory = directory
+        self._extra = settings or {}
+        self._standin_settings = standin_settings or {}
+        self._processes: dict[str, _Process] = {}
+        self._peer: dict[str, str] = {}
+        self._http: dict[str, str] = {}
+        self._standin: dict[str, str] = {}
+        self._assign_addresses()
+
+    @property
+    def deployment(self) -> Deployment:
+        """What is run."""
+        return self._deployment
+
+    @property
+    def entry_names(self) -> list[str]:
+        """Names of the entries."""
+        return [name for name, _ in self._deployment.entries]
+
+    @property
+    def sidecar_names(self) -> list[str]:
+        """Names of the sidecars."""
+        return [f"sidecar-{plan.name}" for plan in self._deployment.endpoints]
+
+    @property
+    def log_url(self) -> str:
+        """URL of the log stand-in."""
+        return self._standin["log"]
+
+    def url(self, name: str) -> str:
+        """Return the HTTP base URL of an entry or sidecar."""
+        return f"http://{self._http[name]}"
+
+    def peer_address(self, name: str) -> str:
+        """Return the peer address of an entry or sidecar."""
+        return self._peer[name]
+
+    def standin_url(self, name: str) -> str:
+        """Return the URL of a stand-in: ``log`` or the name of an endpoint."""
+        return self._standin[name]
+
+    def document(self) -> dict[str, Any]:
+        """Return the configuration document with all endpoints."""
+        addresses = {
+            plan.name: self._peer[f"sidecar-{plan.name}"] for plan in self._deployment.endpoints
+        }
+        return inventory_document(self._deployment, addresses)
+
+    async def start(self) -> None:
+        """Start everything, publish the inventory and wait until all entries serve."""
+        for name in list(self._processes):
+            self.spawn(name)
+        await self._wait_standin("log")
+        await publish_document(self.log_url, self.document(), 0, "demo")
+        await asyncio.gather(*(self.wait_ready(name) for name in self.entry_names))
+
+    def spawn(self, name: str) -> None:
+        """Start a process that does not run."""
+        process = self._processes[name]
+        with process.log_path.open("ab") as log:
+            process.handle = subprocess.Popen(
+                process.arguments, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+            )
+
+    def kill(self, name: str) -> None:
+        """End a process without warning."""
+        self._signal(name, signal.SIGKILL)
+        self._require(name).wait()
+
+    def pause(self, name: str) -> None:
+        """Freeze a process."""
+        self._signal(name, signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self._signal(name, signal.SIGCONT)
+
+    async def terminate(self, name: str) -> int:
+        """Ask a process to stop and return its exit code."""
+        self._signal(name, signal.SIGTERM)
+        return await asyncio.to_thread(self._require(name).wait, STOP_TIMEOUT_S)
+
+    def log_text(self, name: str) -> str:
+        """Return what a process has written so far."""
+        return self._processes[name].log_path.read_text(encoding="utf-8", errors="replace")
+
+    async def status(self, name: str) -> dict[str, Any]:
+        """Return the status document of an entry or sidecar."""
+        response = await AsyncHTTPClient().fetch(
+            f"{self.url(name)}/status", request_timeout=REQUEST_TIMEOUT_S
+        )
+        return json.loads(response.body)
+
+    async def set_fault(self, standin: str, **fault: Any) -> None:
+        """Make a stand-in fail; see its ``/faults``."""
+        await AsyncHTTPClient().fetch(
+            f"{self.standin_url(standin)}/faults",
+            method="POST",
+            body=json.dumps(fault),
+            request_timeout=REQUEST_TIMEOUT_S,
+        )
+
+    async def wait_ready(self, name: str) -> None:
+        """Wait until an entry knows all endpoints to be live and has an epoch."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while not await self._is_ready(name):
+                self._check_running(name)
+                await asyncio.sleep(POLL_INTERVAL_S)
+
+    def close(self) -> None:
+        """End all processes that this object started."""
+        running = [item for item in self._processes.values() if item.handle is not None]
+        for process in running:
+            if process.handle.poll() is None:
+                process.handle.send_signal(signal.SIGCONT)
+                process.handle.kill()
+        for process in running:
+            process.handle.wait()
+
+    def _assign_addresses(self) -> None:
+        sidecars, entries = self.sidecar_names, self.entry_names
+        standins = ["log", *(plan.name for plan in self._deployment.endpoints)]
+        ports = iter(free_ports(2 * len(sidecars + entries) + len(standins)))
+        for name in sidecars + entries:
+            self._peer[name] = f"{LOOPBACK}:{next(ports)}"
+            self._http[name] = f"{LOOPBACK}:{next(ports)}"
+        for name in standins:
+            self._standin[name] = f"http://{LOOPBACK}:{next(ports)}"
+        self._add_standin("log", "log", {})
+        for plan in self._deployment.endpoints:
+            self._add_standin(plan.name, plan.standin, plan.standin_config())
+            self._add_process(
+                "sidecar",
+                f"sidecar-{plan.name}",
+                plan.data_centre,
+                endpoint={
+                    "name": plan.name,
+                    "adapter": plan.adapter,
+                    "url": self._standin[plan.name],
+                    "max_running": 16,
+                },
+            )
+        for name, centre in self._deployment.entries:
+            self._add_process("entry", name, centre)
+
+    def _add_standin(self, name: str, kind: str, config: dict[str, Any]) -> None:
+        port = int(self._standin[name].rsplit(":", 1)[1])
+        settings = {**config, **self._standin_settings.get(name, {}), "port": port}
+        path = self._write(f"standin-{name}", settings)
+        self._add(f"standin-{name}", ["standin", kind, "--config", str(path)])
+
+    def _add_process(self, role: str, name: str, centre: str, **extra: Any) -> None:
+        settings = {
+            "instance": name,
+            "data_centre": centre,
+            "peer_address": self._peer[name],
+            "http_address": self._http[name],
+            "seeds": [self._peer[entry] for entry in self.entry_names if entry != name],
+            "log": {"url": self.log_url},
+            "balancer_delay_seconds": 0.5,
+            **self._extra,
+            **extra,
+        }
+        self._add(name, [role, "--config", str(self._write(name, settings))])
+
+    def _write(self, name: str, settings: dict[str, Any]) -> pathlib.Path:
+        path = self._directory / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2), encoding="utf-8")
+        return path
+
+    def _add(self, name: str, arguments: list[str]) -> None:
+        command = [sys.executable, "-m", "jayvalve", *arguments]
+        self._processes[name] = _Process(name, command, self._directory / f"{name}.log")
+
+    def _require(self, name: str) -> subprocess.Popen[bytes]:
+        handle = self._processes[name].handle
+        if handle is None:
+            raise InternalError(f"process {name} was not started")
+        return handle
+
+    def _signal(self, name: str, number: int) -> None:
+        self._require(name).send_signal(number)
+
+    def _check_running(self, name: str) -> None:
+        if self._require(name).poll() is not None:
+            raise InternalError(f"process {name} ended early: {self.log_text(name)[-2000:]}")
+
+    async def _wait_standin(self, name: str) -> None:
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while "ready on" not in self.log_text(f"standin-{name}"):
+                self._check_running(f"standin-{name}")
+                await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def _is_ready(self, name: str) -> bool:
+        try:
+            status = await self.status(name)
+        except (OSError, HTTPError):
+            return False
+        live = [item for item in status["endpoints"] if item["state"] == "live"]
+        return status["epoch"] is not None and len(live) == len(self._deployment.endpoints)
--- a/src/jayvalve/internal/entry/commands.py
+++ b/src/jayvalve/internal/entry/commands.py
@@ -33,6 +33,6 @@
 class EndProgramHandler(CallerHandler):
     """``POST /v1/programs/{id}/end``."""
 
-    async def post(self, program: str) -> None:
+    async def post(self) -> None:
         """End a program and free what it holds."""
         await self.relay()
--- a/src/jayvalve/internal/entry/execution.py
+++ b/src/jayvalve/internal/entry/execution.py
@@ -354,7 +354,8 @@
     async def _finish_known(self, attempt_id: str, grant: ClaimGrant) -> Answer:
         """Return the outcome that the log already holds for the key."""
         status, headers, body = grant.answer or (0, {}, b"")
-        answer = Answer(status, headers, body)
+        head = self._head(ResponseHead(status, headers))
+        answer = Answer(status, head.headers, body)
         await self._journal.end_turn(attempt_id, Amount(), answer, self.digest, None)
         self._send_rest(answer, EventSplitter(), 0)
         return answer
