--- /dev/null
+++ b/src/jayvalve/internal/claims/table.py
@@ -0,0 +1,235 @@
+"""Folds one claim stream into the state of each key."""
+
+from collections import OrderedDict
+
+import attrs
+
+from jayvalve.errors import KeyReusedError
+from jayvalve.internal.claims.records import Claim, Outcome, Settled, parse_batch
+from jayvalve.internal.log import LogRecord
+from jayvalve.internal.wire.messages import ClaimDecision
+from jayvalve.verdict import Verdict
+
+__all__ = ["BODY_DIGEST_HEADER", "ClaimTable", "ItemResult", "KeyState"]
+
+MAX_KEYS = 50_000
+MAX_BODY_BYTES_HELD = 8 * 1024 * 1024
+# Claim ids include those of refused claims, so there may be more of them than keys.
+_IDS_PER_KEY = 4
+
+# Tells an empty body from one that is not part of the record.
+BODY_DIGEST_HEADER = "Jayvalve-Body-Digest"
+
+
+@attrs.define
+class KeyState:
+    """Claim in force for a key and its outcome, if there is one."""
+
+    claim: Claim
+    claim_offset: int
+    time: float
+    outcome: Outcome | None = None
+    outcome_offset: int = -1
+    body_dropped: bool = False
+    settled_by: str = ""
+
+    @property
+    def verdict(self) -> str | None:
+        """Verdict of the outcome, or None while there is none."""
+        return self.outcome.verdict if self.outcome is not None else None
+
+
+@attrs.frozen
+class ItemResult:
+    """Effect of one item of a batch; reason is empty if it took effect."""
+
+    item: Claim | Outcome | Settled
+    reason: str = ""
+
+
+class ClaimTable:
+    """State of all keys of one partition, a function of its stream alone.
+
+    Memory is bounded as follows. Keys and claim ids are dropped once the newest record is
+    retention_s younger than they are. Bodies beyond max_body_bytes are dropped, oldest
+    first, and can be read again from the log at the outcome's offset. Claim ids beyond four
+    per key allowed are dropped, oldest first. A key within the retention is never dropped:
+    at max_keys, `full` tells the relay to append no claim for a new key.
+    """
+
+    def __init__(
+        self,
+        retention_s: float,
+        *,
+        max_keys: int = MAX_KEYS,
+        max_body_bytes: int = MAX_BODY_BYTES_HELD,
+    ) -> None:
+        self._retention_s = retention_s
+        self._max_keys = max_keys
+        self._max_body_bytes = max_body_bytes
+        self._states: OrderedDict[tuple[str, str], KeyState] = OrderedDict()
+        self._seen: OrderedDict[str, float] = OrderedDict()
+        self._bodies: OrderedDict[str, KeyState] = OrderedDict()
+        self._body_bytes = 0
+        self._time = 0.0
+
+    def __len__(self) -> int:
+        return len(self._states)
+
+    def __repr__(self) -> str:
+        return f"ClaimTable(retention_s={self._retention_s}, keys={len(self)})"
+
+    @property
+    def full(self) -> bool:
+        """Whether no further key may be claimed until old ones expire."""
+        return len(self._states) >= self._max_keys
+
+    @property
+    def body_bytes(self) -> int:
+        """Bytes of the bodies held."""
+        return self._body_bytes
+
+    def get(self, organisation: str, key: str) -> KeyState | None:
+        """Return the state of a key, or None."""
+        return self._states.get((organisation, key))
+
+    def decision(self, organisation: str, key: str, claim_id: str = "") -> ClaimDecision:
+        """Return what is known of a key; granted only to the holder's claim id."""
+        state = self.get(organisation, key)
+        if state is None:
+            return ClaimDecision("unknown")
+        claim, outcome = state.claim, state.outcome
+        common = {
+            "claim_offset": state.claim_offset,
+            "claim_id": claim.claim_id,
+            "attempt_id": claim.attempt_id,
+            "endpoint": claim.endpoint,
+            "incarnation": claim.incarnation,
+            "attempt_number": claim.attempt_number,
+            "body_digest": claim.body_digest,
+        }
+        if outcome is None:
+            return ClaimDecision("granted" if claim.claim_id == claim_id else "held", **common)
+        headers = dict(outcome.headers)
+        if outcome.body_omitted or state.body_dropped:
+            headers[BODY_DIGEST_HEADER] = outcome.body_digest
+        return ClaimDecision(
+            "done",
+            **common,
+            verdict=outcome.verdict,
+            status=outcome.status,
+            headers=headers,
+            body=outcome.body,
+        )
+
+    def check_body(self, organisation: str, key: str, body_digest: str) -> None:
+        """Raise KeyReusedError if the key belongs to a request with another body."""
+        state = self.get(organisation, key)
+        if state is not None and state.claim.body_digest != body_digest:
+            raise KeyReusedError(f"key {key!r} was used before with another request")
+
+    def apply(self, record: LogRecord) -> list[ItemResult]:
+        """Apply the next record of the stream and return the effect of each item."""
+        self._time = max(self._time, record.time)
+        self._expire()
+        results = []
+        for item in parse_batch(record.data):
+            if isinstance(item, Claim):
+                reason = self._claim(item, record.offset)
+            elif isinstance(item, Outcome):
+                reason = self._outcome(item, record.offset)
+            else:
+                reason = self._settle(item, record.offset)
+            results.append(ItemResult(item, reason))
+        return results
+
+    def _claim(self, claim: Claim, offset: int) -> str:
+        if claim.claim_id in self._seen:
+            return "repeats an earlier claim"
+        self._seen[claim.claim_id] = self._time
+        while len(self._seen) > _IDS_PER_KEY * self._max_keys:
+            self._seen.popitem(last=False)
+        state = self.get(claim.organisation, claim.key)
+        reason = _claim_fault(state, claim)
+        if not reason:
+            if state is not None:
+                self._drop_body(state)
+            self._states[claim.organisation, claim.key] = KeyState(claim, offset, self._time)
+            self._states.move_to_end((claim.organisation, claim.key))
+        return reason
+
+    def _outcome(self, outcome: Outcome, offset: int) -> str:
+        state = self.get(outcome.organisation, outcome.key)
+        if state is None or state.claim.claim_id != outcome.claim_id:
+            return "is not the outcome of the claim in force"
+        if state.claim.attempt_id != outcome.attempt_id:
+            return "names another attempt than the claim in force"
+        # A late answer replaces the uncertainty; nothing replaces a known verdict.
+        if state.outcome is not None and not (
+            state.verdict == Verdict.MAY_HAVE_RUN and outcome.verdict == Verdict.RAN
+        ):
+            return f"the outcome {state.verdict} is recorded already"
+        self._set_outcome(state, outcome, offset)
+        return ""
+
+    def _settle(self, settled: Settled, offset: int) -> str:
+        state = self.get(settled.organisation, settled.key)
+        if state is None or state.claim.claim_id != settled.claim_id:
+            return "does not name the claim in force"
+        if state.verdict not in (None, Verdict.MAY_HAVE_RUN):
+            return f"the outcome {state.verdict} is recorded already"
+        claim = state.claim
+        self._set_outcome(
+            state,
+            Outcome(
+                claim.claim_id,
+                claim.organisation,
+                claim.key,
+                claim.attempt_id,
+                settled.verdict,
+                0,
+                {},
+                b"",
+                "",
+                False,
+            ),
+            offset,
+        )
+        state.settled_by = settled.author
+        return ""
+
+    def _set_outcome(self, state: KeyState, outcome: Outcome, offset: int) -> None:
+        self._drop_body(state)
+        state.outcome, state.outcome_offset, state.body_dropped = outcome, offset, False
+        if not outcome.body:
+            return
+        self._bodies[outcome.claim_id] = state
+        self._body_bytes += len(outcome.body)
+        while self._body_bytes > self._max_body_bytes:
+            self._drop_body(next(iter(self._bodies.values())))
+
+    def _drop_body(self, state: KeyState) -> None:
+        if self._bodies.pop(state.claim.claim_id, None) is None:
+            return
+        self._body_bytes -= len(state.outcome.body)
+        state.outcome = attrs.evolve(state.outcome, body=b"")
+        state.body_dropped = True
+
+    def _expire(self) -> None:
+        oldest = self._time - self._retention_s
+        while self._states and next(iter(self._states.values())).time < oldest:
+            self._drop_body(self._states.popitem(last=False)[1])
+        while self._seen and next(iter(self._seen.values())) < oldest:
+            self._seen.popitem(last=False)
+
+
+def _claim_fault(state: KeyState | None, claim: Claim) -> str:
+    if state is None:
+        return ""
+    if state.claim.body_digest != claim.body_digest:
+        return "the key was used before with another request"
+    if state.verdict != Verdict.NOT_RUN:
+        return f"attempt {state.claim.attempt_number} holds the key"
+    if claim.attempt_number != state.claim.attempt_number + 1:
+        return f"the next attempt is number {state.claim.attempt_number + 1}"
+    return ""
--- a/src/jayvalve/internal/log/client.py
+++ b/src/jayvalve/internal/log/client.py
@@ -9,7 +9,7 @@
 import attrs
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
-from tornado.httpclient import HTTPRequest, HTTPResponse
+from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
 
 from jayvalve.errors import LogAnswerLostError, LogUnavailableError
 
@@ -93,7 +93,7 @@
         )
         try:
             response = await self._http.fetch(request, raise_error=False)
-        except (CurlError, OSError) as error:
+        except (HTTPError, OSError) as error:
             if isinstance(error, CurlError) and error.errno in _NOT_SENT:
                 raise LogUnavailableError(f"append to {stream} was not sent: {error}") from error
             raise LogAnswerLostError(f"answer to append to {stream} was lost: {error}") from error
@@ -119,7 +119,7 @@
         )
         try:
             response = await self._http.fetch(request, raise_error=False)
-        except (CurlError, OSError) as error:
+        except (HTTPError, OSError) as error:
             raise LogUnavailableError(f"read of {stream} failed: {error}") from error
         _check_refused(response, f"read of {stream}")
         if response.code != 200:
