Add placement: fold of the orders and the decider

Orders must not need a coordinator, so every reader checks base, interval, load rate and last live endpoint from the stream alone. A refused order also uses up its base, because a late copy of it could otherwise count later.

--- a/src/jayvalve/internal/placement/__init__.py
+++ b/src/jayvalve/internal/placement/__init__.py
@@ -1,1 +1,37 @@
-"""Package placement."""
+"""Placement of models on endpoints without a coordinator."""
+
+from jayvalve.internal.placement.decider import Hysteresis, PlacementDecider, is_decider
+from jayvalve.internal.placement.fold import (
+    MIN_ORDER_INTERVAL_S,
+    EndpointState,
+    PlacementFold,
+    PlacementResult,
+)
+from jayvalve.internal.placement.records import (
+    ACTIONS,
+    STREAM,
+    EndpointEntry,
+    InventoryRecord,
+    PlacementOrder,
+    Snapshot,
+    inventory_record,
+    parse_record,
+)
+
+__all__ = [
+    "ACTIONS",
+    "MIN_ORDER_INTERVAL_S",
+    "STREAM",
+    "EndpointEntry",
+    "EndpointState",
+    "Hysteresis",
+    "InventoryRecord",
+    "PlacementDecider",
+    "PlacementFold",
+    "PlacementOrder",
+    "PlacementResult",
+    "Snapshot",
+    "inventory_record",
+    "is_decider",
+    "parse_record",
+]
--- /dev/null
+++ b/src/jayvalve/internal/placement/records.py
@@ -0,0 +1,143 @@
+"""Records of the stream placement."""
+
+from typing import Any
+
+import attrs
+import msgpack
+
+from jayvalve.internal.configuration import Inventory
+
+__all__ = [
+    "ACTIONS",
+    "STREAM",
+    "EndpointEntry",
+    "InventoryRecord",
+    "PlacementOrder",
+    "Snapshot",
+    "inventory_record",
+    "parse_record",
+]
+
+STREAM = "placement"
+ACTIONS = ("load", "unload", "role")
+
+_text = attrs.validators.instance_of(str)
+_integer = attrs.validators.instance_of(int)
+_number = attrs.validators.instance_of((int, float))
+
+
+def _texts() -> Any:
+    return attrs.field(
+        converter=lambda values: tuple(sorted(set(values))),
+        validator=attrs.validators.deep_iterable(_text),
+    )
+
+
+@attrs.frozen
+class EndpointEntry:
+    """Role and capabilities of one endpoint as the inventory lists them."""
+
+    name: str = attrs.field(validator=_text)
+    role: str = attrs.field(validator=_text)
+    capabilities: tuple[str, ...] = _texts()
+
+
+@attrs.frozen
+class InventoryRecord:
+    """Endpoints and limits of one configuration version.
+
+    The fold takes them from the log rather than from the reader's configuration, because
+    two readers may have different versions in force when they read the same order.
+    """
+
+    configuration_version: int = attrs.field(validator=_integer)
+    endpoints: tuple[EndpointEntry, ...] = attrs.field(
+        converter=lambda values: tuple(
+            value if isinstance(value, EndpointEntry) else EndpointEntry(*value[:3])
+            for value in values
+        )
+    )
+    loads_per_interval: int = attrs.field(validator=_integer)
+    load_interval_s: float = attrs.field(validator=_number)
+
+    def pack(self) -> bytes:
+        """Return the record's payload."""
+        return msgpack.packb(["inventory", *attrs.astuple(self)], use_bin_type=True)
+
+
+@attrs.frozen
+class PlacementOrder:
+    """An order to load or unload a capability or to change the role of an endpoint.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+        action: One of ACTIONS.
+        capability: Capability such as model:N, or the new role.
+        based_on: Head of the endpoint (EndpointState.head) when the order was made.
+        live: Endpoints that the decider saw as live.
+        decider: Instance that made the order.
+
+    """
+
+    endpoint: str = attrs.field(validator=_text)
+    action: str = attrs.field(validator=attrs.validators.in_(ACTIONS))
+    capability: str = attrs.field(validator=_text)
+    based_on: int = attrs.field(validator=_integer)
+    live: tuple[str, ...] = _texts()
+    decider: str = attrs.field(default="", validator=_text)
+
+    def pack(self) -> bytes:
+        """Return the record's payload."""
+        return msgpack.packb(["order", *attrs.astuple(self)], use_bin_type=True)
+
+
+@attrs.frozen
+class Snapshot:
+    """State of the fold after the record at offset through, which renews the stream."""
+
+    through: int = attrs.field(validator=_integer)
+    inventory: InventoryRecord = attrs.field(
+        converter=lambda value: (
+            value if isinstance(value, InventoryRecord) else InventoryRecord(*value[:4])
+        )
+    )
+    endpoints: tuple = attrs.field(
+        converter=lambda values: tuple(
+            (str(name), int(offset), int(head), ordered_at, str(role), tuple(held))
+            for name, offset, head, ordered_at, role, held in values
+        )
+    )
+    loads: tuple[float, ...] = attrs.field(converter=lambda values: tuple(map(float, values)))
+
+    def pack(self) -> bytes:
+        """Return the record's payload."""
+        return msgpack.packb(["renew", *attrs.astuple(self)], use_bin_type=True)
+
+
+_KINDS = {"inventory": InventoryRecord, "order": PlacementOrder, "renew": Snapshot}
+
+
+def parse_record(data: bytes) -> InventoryRecord | PlacementOrder | Snapshot | None:
+    """Return the record in a payload, or None if it is malformed."""
+    try:
+        parts: Any = msgpack.unpackb(data)
+        record_type = _KINDS[parts[0]]
+        # Newer versions may append fields.
+        return record_type(*parts[1 : 1 + len(attrs.fields(record_type))])
+    except (ValueError, TypeError, KeyError, IndexError, msgpack.UnpackException):
+        return None
+
+
+def inventory_record(
+    version: int, inventory: Inventory, loads_per_interval: int, load_interval_s: float
+) -> InventoryRecord:
+    """Return the record for a configuration version."""
+    return InventoryRecord(
+        version,
+        tuple(
+            EndpointEntry(endpoint.name, endpoint.role, endpoint.capabilities)
+            for endpoint in inventory.endpoints
+        ),
+        loads_per_interval,
+        load_interval_s,
+    )
