Add a block size to the engine model; check with the openai client

The prefix cache dominates the cost of experiments with long prompts, and larger blocks lower it. Faults refuse numbers of the wrong type with 400 instead of failing with 500.

--- a/src/jayvalve/standins/batching.py
+++ b/src/jayvalve/standins/batching.py
@@ -9,6 +9,7 @@
 
 from jayvalve.errors import InvalidSettingsError
 from jayvalve.standins.prefix_cache import CacheEvent, PrefixCache
+from jayvalve.standins.tokens import BLOCK_TOKENS
 
 __all__ = ["FINISHED", "FIRST_TOKEN", "TOKEN", "ContinuousBatchEngine", "EngineCall", "EngineEvent"]
 
@@ -67,7 +68,8 @@
     Prompts are prefilled one after the other at prefill_tokens_per_s. All decoding sequences
     advance at the same rate, decode_tokens_per_s / (1 + batch_slowdown * (batch - 1)).
     Decoding is kept as one shared progress in tokens, so that a call costs a few heap
-    operations whatever its length, unless token_events asks for each token.
+    operations whatever its length, unless token_events asks for each token. The cache costs
+    a few operations a block; experiments with long prompts may use larger block_tokens.
     """
 
     def __init__(
@@ -78,16 +80,17 @@
         decode_tokens_per_s: float = 60.0,
         batch_slowdown: float = 0.02,
         cache_tokens: int = 200_000,
+        block_tokens: int = BLOCK_TOKENS,
         token_events: bool = False,
     ) -> None:
-        if max_running < 1 or min(prefill_tokens_per_s, decode_tokens_per_s) <= 0:
-            raise ValueError("max_running, prefill and decode rates must be positive")
+        if min(max_running, block_tokens, prefill_tokens_per_s, decode_tokens_per_s) <= 0:
+            raise ValueError("max_running, block_tokens and the rates must be positive")
         self._max_running = max_running
         self._prefill_rate = prefill_tokens_per_s
         self._decode_rate = decode_tokens_per_s
         self._slowdown = batch_slowdown
         self._token_events = token_events
-        self._cache = PrefixCache(cache_tokens)
+        self._cache = PrefixCache(cache_tokens, block_tokens)
         self._now = 0.0
         self._progress = 0.0
         self._order = 0
@@ -248,29 +251,26 @@
             return
 
     def _finish_prefill(self, events: list[EngineEvent]) -> None:
-        sequence = self._prefilling
         self._catch_up(self._prefill_end_s)
-        self._prefilling = None
-        self._prefill_end_s = math.inf
-        if sequence is not None:
-            call = sequence.call
-            self._cache.store(call.program, call.blocks, self._now)
-            sequence.produced = 1
-            sequence.start_progress = self._progress
-            events.append(EngineEvent(self._now, FIRST_TOKEN, call.call_id, 0))
-            self._decoding += 1
-            if call.output_tokens == 1:
-                self._finish(sequence, events)
-            else:
-                self._schedule(sequence)
+        sequence, self._prefilling, self._prefill_end_s = self._prefilling, None, math.inf
+        call = sequence.call
+        self._cache.store(call.program, call.blocks, self._now)
+        sequence.produced = 1
+        sequence.start_progress = self._progress
+        events.append(EngineEvent(self._now, FIRST_TOKEN, call.call_id, 0))
+        self._decoding += 1
+        if call.output_tokens == 1:
+            self._finish(sequence, events)
+        else:
+            self._schedule(sequence)
         self._admit()
 
     def _schedule(self, sequence: _Sequence) -> None:
         last = sequence.call.output_tokens
         target = sequence.produced + 1 if self._token_events else last
         self._order += 1
-        entry = (sequence.start_progress + target - 1, self._order, sequence)
-        heapq.heappush(self._decode, entry)
+        target_progress = sequence.start_progress + target - 1
+        heapq.heappush(self._decode, (target_progress, self._order, sequence))
 
     def _decode_step(self, at_s: float, events: list[EngineEvent]) -> None:
         progress, _, sequence = heapq.heappop(self._decode)
--- a/src/jayvalve/standins/faults.py
+++ b/src/jayvalve/standins/faults.py
@@ -48,12 +48,11 @@
             raise InvalidRequestError(f"mode: {error}") from None
         seconds, count = fields.get("seconds"), fields.get("count")
         if seconds is not None:
-            check_range(seconds, "seconds", 0.0, MAX_FAULT_S)
+            check_range(_number(seconds, "seconds"), "seconds", 0.0, MAX_FAULT_S)
         if count is not None:
             check_range(check_type(int, count, "count"), "count", 0, 1_000_000)
-        self.delay_s = check_range(
-            fields.get("delay_s", DEFAULT_SLOW_DELAY_S), "delay_s", 0.0, MAX_FAULT_S
-        )
+        delay_s = _number(fields.get("delay_s", DEFAULT_SLOW_DELAY_S), "delay_s")
+        self.delay_s = check_range(delay_s, "delay_s", 0.0, MAX_FAULT_S)
         self.mode = mode
         self._until_s = None if seconds is None else self.clock.now() + seconds
         self._remaining = count
@@ -69,3 +68,7 @@
             return self.mode
         self._remaining -= 1
         return self.mode
+
+
+def _number(value: object, name: str) -> float:
+    return float(value) if isinstance(value, int) else check_type(float, value, name)
--- a/src/jayvalve/standins/prefix_cache.py
+++ b/src/jayvalve/standins/prefix_cache.py
@@ -30,8 +30,9 @@
     evicts their blocks, as if the engine preempted them.
     """
 
-    def __init__(self, capacity_tokens: int) -> None:
-        self._capacity_blocks = capacity_tokens // BLOCK_TOKENS
+    def __init__(self, capacity_tokens: int, block_tokens: int = BLOCK_TOKENS) -> None:
+        self._block_tokens = block_tokens
+        self._capacity_blocks = capacity_tokens // block_tokens
         self._blocks: OrderedDict[int, set[str]] = OrderedDict()
         self._programs: dict[str, set[int]] = {}
         self._evicted: OrderedDict[int, None] = OrderedDict()
@@ -44,12 +45,12 @@
     @property
     def tokens(self) -> int:
         """Tokens held now."""
-        return len(self._blocks) * BLOCK_TOKENS
+        return len(self._blocks) * self._block_tokens
 
     @property
     def programs(self) -> dict[str, int]:
         """Tokens held for each program; shared blocks count for each of their programs."""
-        return {name: len(blocks) * BLOCK_TOKENS for name, blocks in self._programs.items()}
+        return {name: len(blocks) * self._block_tokens for name, blocks in self._programs.items()}
 
     def match(self, blocks: Sequence[int]) -> int:
         """Return the number of leading tokens held, and count cached and rebuilt tokens."""
@@ -59,9 +60,9 @@
                 break
             held += 1
         rebuilt = sum(block in self._evicted for block in blocks[held:])
-        self.cached_tokens += held * BLOCK_TOKENS
-        self.rebuilt_tokens += rebuilt * BLOCK_TOKENS
-        return held * BLOCK_TOKENS
+        self.cached_tokens += held * self._block_tokens
+        self.rebuilt_tokens += rebuilt * self._block_tokens
+        return held * self._block_tokens
 
     def store(self, program: str, blocks: Sequence[int], now: float) -> None:
         """Hold blocks for program, and evict the least recently used ones if needed."""
@@ -100,7 +101,7 @@
                 removed.append(block)
         if removed:
             self._emit("removed", program, removed, now)
-        return len(removed) * BLOCK_TOKENS
+        return len(removed) * self._block_tokens
 
     def clear(self, now: float) -> None:
         """Drop everything, as an engine does that loads another model."""
@@ -127,7 +128,7 @@
         while len(self._evicted) > EVICTED_HASHES_KEPT:
             self._evicted.popitem(last=False)
         if removed:
-            self.evicted_tokens += len(removed) * BLOCK_TOKENS
+            self.evicted_tokens += len(removed) * self._block_tokens
             self._emit("removed", "", removed, now)
 
     def _emit(self, kind: str, program: str, blocks: list[int], now: float) -> None:
--- a/tests/cover/test_engines.py
+++ b/tests/cover/test_engines.py
@@ -192,6 +192,23 @@
 
         self.run_async(body())
 
+    def test_stream_that_breaks_is_a_failure(self):
+        """Guards against an engine that goes down mid-stream and seems to have ended."""
+
+        async def body():
+            async with pair("model-engine", "openai", SLOW) as (engine, adapter):
+                task = asyncio.create_task(failure(adapter, chat(tokens=5000)))
+                self.assertTrue(await until(lambda: engine.engine.running == 1))
+                for handler in list(engine.handlers):
+                    handler.drop_connection()
+                self.assertEqual(Verdict.MAY_HAVE_RUN, (await task).verdict)
+                engine.faults.set({"mode": "lose_answers", "count": 1})
+                error = await failure(adapter, chat())
+                self.assertEqual(Verdict.MAY_HAVE_RUN, error.verdict)
+                self.assertTrue(await until(lambda: engine.engine.running == 0))
+
+        self.run_async(body())
+
     def test_cache_and_load(self):
         """Guards against control requests that disagree with the engine's protocol."""
 
--- a/tests/cover/test_standins.py
+++ b/tests/cover/test_standins.py
@@ -8,6 +8,7 @@
 import sys
 from contextlib import asynccontextmanager
 
+from openai import AsyncOpenAI
 from testtools import TestCase
 from testtools.matchers import MatchesRegex
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
@@ -154,6 +155,12 @@
         self.assertEqual(64, cache.tokens)
         self.assertEqual([0], [e.sequence for e in engine.cache_events(0, 5.0)])
 
+    def test_block_size_sets_the_capacity(self):
+        """Guards against figures in blocks where tokens are meant."""
+        engine = ContinuousBatchEngine(cache_tokens=1000, block_tokens=500)
+        engine.import_blocks("a", [1, 2, 3], 0.0)
+        self.assertEqual((1000, 500), (engine.cache.tokens, engine.cache.evicted_tokens))
+
     def test_release_keeps_shared_blocks_only(self):
         """Guards against memory that stays with ended programs, and against freeing others'."""
         engine = ContinuousBatchEngine()
@@ -207,6 +214,25 @@
         self.assertEqual(["data: [DONE]", ""], lines[-2:])
         return [json.loads(line[6:]) for line in lines[:-2]]
 
+    def test_openai_client_reads_the_answers(self):
+        """Guards against documents that a published client of the protocol rejects."""
+
+        async def body():
+            async with running("model-engine", self.FAST) as (_, base):
+                async with AsyncOpenAI(
+                    base_url=f"{base}/v1", api_key="none", max_retries=0
+                ) as client:
+                    self.assertEqual(["small"], [m.id async for m in await client.models.list()])
+                    whole = await client.chat.completions.create(**chat())
+                    options = {"stream": True, "stream_options": {"include_usage": True}}
+                    stream = await client.chat.completions.create(**chat(), **options)
+                    chunks = [chunk async for chunk in stream]
+                text = "".join(c.choices[0].delta.content or "" for c in chunks if c.choices)
+                self.assertEqual(whole.choices[0].message.content, text)
+                self.assertEqual(whole.usage.total_tokens, chunks[-1].usage.total_tokens)
+
+        self.run_async(body())
+
     def test_closed_connection_cancels(self):
         """Guards against abandoned calls that go on using the engine."""
 
@@ -317,7 +343,8 @@
                 self.assertEqual((201, 1), await book("e", "down", seconds=0))
                 self.assertEqual(201, (await fetch(f"{base}/bookings", {"key": "b"}))[0])
                 self.assertEqual(2, (await fetch(f"{base}/runs?key=b"))[1]["runs"])
-                self.assertEqual(400, (await fetch(f"{base}/faults", {"mode": "odd"}))[0])
+                for wrong in ({"mode": "odd"}, {"mode": "down", "seconds": "5"}):
+                    self.assertEqual(400, (await fetch(f"{base}/faults", wrong))[0])
 
         self.run_async(body())
 
