--- a/src/jayvalve/demo.py
+++ b/src/jayvalve/demo.py
@@ -13,7 +13,7 @@
 import attrs
 from rich.console import Console
 from rich.table import Table
-from tornado.httpclient import AsyncHTTPClient, HTTPResponse
+from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPResponse
 
 from jayvalve.deployments import DEPLOYMENTS, Deployment, publish_document
 from jayvalve.deployments.processes import ProcessDeployment
@@ -110,7 +110,7 @@
                 raise_error=False,
                 request_timeout=REQUEST_TIMEOUT_S,
             )
-        except OSError:
+        except (OSError, HTTPError):
             return None
 
     async def chat(
@@ -165,7 +165,7 @@
             self._processes.close()
 
     def _say(self, text: str) -> None:
-        self._console.print(f"[{self._plan.name}] {text}", highlight=False)
+        self._console.print(f"{self._plan.name}: {text}", highlight=False)
 
     async def _run_programs(self) -> None:
         """Run programs while an entry and a sidecar are killed."""
@@ -211,7 +211,7 @@
         self._checks.check(2, contents == expected, f"{program}: {len(contents)} messages")
 
     async def _check_budget(self) -> None:
-        """A program that loops without end stops at its budget of calls."""
+        """Check that a program which loops without end stops at its budget of calls."""
         answered = 0
         for turn in range(1, 6):
             response, _ = await self._caller.chat(
@@ -224,7 +224,7 @@
         self._say(f"looping program stopped after {answered} calls: {code}")
 
     async def _check_change_once(self) -> None:
-        """A change is repeated through a second entry, and once at both at the same time."""
+        """Send changes through two entries at the same time and again through a third."""
         path = f"/v1/services/{self._plan.service}{self._plan.change_path}"
         entries = self._processes.entry_names
         for number in range(4):
@@ -264,7 +264,7 @@
         self._latencies.append(("alert", "urgent", elapsed))
 
     async def _check_planned_stop(self) -> None:
-        """A sidecar and an entry stop while requests run; none may fail."""
+        """Stop a sidecar and an entry while requests run; none of them may fail."""
         entry, sidecar = self._processes.entry_names[0], self._processes.sidecar_names[1]
         calls = [
             asyncio.ensure_future(self._long_call(f"stop-{number}", entry)) for number in range(8)
--- a/src/jayvalve/internal/engines/transfer.py
+++ b/src/jayvalve/internal/engines/transfer.py
@@ -6,7 +6,7 @@
 
 import attrs
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest
 from tornado.httputil import HTTPHeaders
 
@@ -21,6 +21,7 @@
     EngineRequest,
     end_to_end_headers,
 )
+from jayvalve.internal.http_client import CurlClient
 from jayvalve.verdict import Verdict
 
 __all__ = ["CurlTransferClient", "Transfer"]
@@ -32,7 +33,7 @@
 _END = object()
 
 
-class CurlTransferClient(CurlAsyncHTTPClient):
+class CurlTransferClient(CurlClient):
     """Tornado's curl client with an abort.
 
     Tornado offers no way to end a transfer early: cancelling the future of fetch leaves the
@@ -41,7 +42,7 @@
     """
 
     def initialize(self, *args: Any, **kwargs: Any) -> None:
-        """Set up the client; the arguments are those of CurlAsyncHTTPClient."""
+        """Set up the client; the arguments are those of CurlClient."""
         self._transfers: dict[pycurl.Curl, Transfer] = {}
         super().initialize(*args, **kwargs)
 
--- a/src/jayvalve/internal/entry/app.py
+++ b/src/jayvalve/internal/entry/app.py
@@ -244,7 +244,7 @@
                     "data_centre": member.data_centre,
                     "state": str(member.state),
                 }
-                for member in view.members
+                for member in view.members()
             ],
             "endpoints": [
                 {
--- a/src/jayvalve/internal/log/client.py
+++ b/src/jayvalve/internal/log/client.py
@@ -8,10 +8,11 @@
 
 import attrs
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
 
 from jayvalve.errors import LogAnswerLostError, LogUnavailableError
+from jayvalve.internal.http_client import CurlClient
 
 __all__ = ["LogClient", "LogPage", "LogRecord"]
 
@@ -59,7 +60,7 @@
     def __init__(self, url: str, *, request_timeout_s: float = REQUEST_TIMEOUT_S) -> None:
         self._url = url.rstrip("/")
         self._request_timeout_s = request_timeout_s
-        self._http = CurlAsyncHTTPClient(force_instance=True, max_clients=_MAX_CLIENTS)
+        self._http = CurlClient(force_instance=True, max_clients=_MAX_CLIENTS)
 
     def __repr__(self) -> str:
         return f"LogClient({self._url!r}, request_timeout_s={self._request_timeout_s!r})"
--- a/src/jayvalve/internal/logging.py
+++ b/src/jayvalve/internal/logging.py
@@ -8,9 +8,9 @@
 
 __all__ = ["configure_logging"]
 
+# loguru itself adds the line end and the exception.
 LINE_FORMAT = (
-    "{time:YYYY-MM-DDTHH:mm:ss.SSSZZ} {level: <7} [{extra[instance]}] "
-    "{extra[part]}: {message}\n{exception}"
+    "{time:YYYY-MM-DDTHH:mm:ss.SSSZZ} {level: <7} [{extra[instance]}] {extra[part]}: {message}"
 )
 
 
