Announce departures and make the indirect probe test able to fail

A draining or leaving process can send its state at once, processes without an address are no members, and the instance list is read with the curl client.

--- a/src/jayvalve/internal/membership/detector.py
+++ b/src/jayvalve/internal/membership/detector.py
@@ -164,6 +164,15 @@
         self._view.observe_failure(member.instance, sent_s)
         return False
 
+    async def announce(self) -> None:
+        """Send this process's state at once, when it starts to drain or leaves.
+
+        All members of a full mesh get it; in a larger deployment some get it and pass it on.
+        """
+        targets = self._view.live() + self._view.leaving()
+        chosen = self._rng.sample(targets, min(FULL_MESH_LIMIT, len(targets)))
+        await asyncio.gather(*(self._contact(m.address, m.instance) for m in chosen))
+
     async def _sleep(self, seconds: float) -> None:
         due_s = self._clock.now() + seconds
         await asyncio.sleep(seconds)
--- a/src/jayvalve/internal/membership/instance_list.py
+++ b/src/jayvalve/internal/membership/instance_list.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 from loguru import logger
-from tornado.httpclient import AsyncHTTPClient, HTTPError
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPError
 
 from jayvalve.errors import InvalidRequestError
 from jayvalve.internal.membership.member import Member, MemberState
@@ -74,7 +75,7 @@
         self._rng = rng or random.Random()
         self._interval_s = interval_s
         self._failures = 0
-        self._client = AsyncHTTPClient(force_instance=True)
+        self._client = CurlAsyncHTTPClient(force_instance=True)
         self._log = logger.bind(part="instances")
 
     @property
--- a/src/jayvalve/internal/membership/view.py
+++ b/src/jayvalve/internal/membership/view.py
@@ -98,7 +98,8 @@
 
     def observe_heartbeat(self, hello: Hello, heartbeat: Heartbeat, now: float) -> None:
         """Take note of a direct sign of life; it overrides everything but a final end."""
-        if hello.instance == self._identity.instance:
+        # A process without an address, such as a command, is no member.
+        if hello.instance == self._identity.instance or not hello.address:
             return
         record = self._current_record(Member.from_hello(hello), now)
         if record is None or record.final:
--- a/tests/cover/test_membership.py
+++ b/tests/cover/test_membership.py
@@ -143,6 +143,10 @@
             self.view.observe_updates([accusation], 0.0)
         self.assertEqual(5, self.view.refutation)
 
+    def test_process_without_an_address_is_no_member(self):
+        self.view.observe_heartbeat(Hello("tool", 1, "command", "catania", ""), beat(), 0.0)
+        self.assertEqual([], self.view.members())
+
     def test_pause_of_this_process_accuses_nobody(self):
         """Guards against declaring all peers dead after an own pause of 10 s."""
         self.view.observe_heartbeat(hello("a"), beat(), 0.0)
@@ -321,11 +325,12 @@
         self.assertEqual(1.0, next(iter(fleet.values())).interval_s)
 
     def test_indirect_probe_prevents_suspicion_over_one_broken_link(self):
-        cut = {("127.0.0.1:1", "127.0.0.1:2")}
+        cut = {("127.0.0.1:1", "127.0.0.1:2"), ("127.0.0.1:2", "127.0.0.1:1")}
         clock, fleet = self.build_fleet(20, cut)
+        seen = []
+        fleet["127.0.0.1:1"]._view.subscribe(lambda change: seen.append(change.member))
         self.run_async(run_rounds(fleet, clock, 60))
-        view = fleet["127.0.0.1:1"]._view
-        self.assertEqual("live", state_of(view, "catania-node-0001"))
+        self.assertEqual([], seen)
 
     def test_both_sides_of_a_healed_partition_find_each_other(self):
         """Guards against members that stay dead for each other after a lost region link."""
@@ -358,6 +363,20 @@
 
         self.assertEqual([3, 3, 3, 3], self.run_async(scenario()))
 
+    def test_announced_departure_reaches_all_and_is_final(self):
+        async def scenario():
+            clock, fleet = self.build_fleet(3)
+            source = HeartbeatSource(state=lambda: "left")
+            leaving = build_detector(fleet, "catania-node-0009", clock, set(), source=source)
+            introduce(fleet)
+            await leaving.announce()
+            del fleet[leaving._identity.address]
+            for detector in fleet.values():
+                detector._view.observe_heartbeat(leaving._identity, beat(refutation=5), 1.0)
+            return [state_of(d._view, "catania-node-0009") for d in fleet.values()]
+
+        self.assertEqual(["left"] * 3, self.run_async(scenario()))
+
     def test_silent_connection_is_replaced_before_the_peer_counts_as_dead(self):
         """Guards against a death report when only one connection went silent."""
 
