Stop the model engine stand-in although a call has just been cancelled

In Python 3.11 asyncio.wait_for drops a cancellation that arrives together with the result it waits for. The stop of the stand-in then waited forever, and its suppression of CancelledError hid this: a test passed after its limit of 20 s. The engine's task uses asyncio.timeout, and the stop waits without suppressing its own cancellation. The added test fails without the change.

--- a/src/jayvalve/standins/log_service.py
+++ b/src/jayvalve/standins/log_service.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import binascii
+import contextlib
 import math
 from collections import deque
 from collections.abc import Mapping
@@ -166,10 +167,9 @@
 
 
 async def _wait(event: asyncio.Event, seconds: float) -> None:
-    try:
-        await asyncio.wait_for(event.wait(), seconds)
-    except TimeoutError:
-        return
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await event.wait()
 
 
 def _document(record: Record) -> dict[str, Any]:
--- a/src/jayvalve/standins/model_engine.py
+++ b/src/jayvalve/standins/model_engine.py
@@ -130,8 +130,7 @@
         await super().stop()
         if self._driver is not None:
             self._driver.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._driver
+            await asyncio.wait({self._driver})
 
     def generate(self, body: Mapping[str, Any], program: str, request_id: str) -> Generation:
         """Queue a chat completion; the same request id joins the earlier generation."""
@@ -248,8 +247,10 @@
             self._dispatch(self._engine.advance(self.clock.now()))
             delay_s = self._engine.next_event_s - self.clock.now()
             timeout_s = None if math.isinf(delay_s) else max(0.0, delay_s)
+            # Not wait_for: in Python 3.11 it drops a cancellation that coincides with the wake.
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), timeout_s)
+                async with asyncio.timeout(timeout_s):
+                    await self._wake.wait()
 
     def _dispatch(self, events: list[EngineEvent]) -> None:
         for event in events:
--- a/tests/cover/test_standins.py
+++ b/tests/cover/test_standins.py
@@ -246,6 +246,25 @@
 
         self.run_async(body())
 
+    def test_stop_ends_right_after_a_cancelled_call(self):
+        """Guards against a stop whose cancellation of the engine's task is lost.
+
+        A cancelled call wakes that task in the same turn of the loop as the stop.
+        """
+
+        async def body():
+            async with running("model-engine", self.SLOW) as (engine, _):
+                generation = engine.generate(chat(max_tokens=500), "p", "")
+                await asyncio.sleep(0.05)
+                engine.cancel(generation)
+                # A time limit by cancellation would be lost in a stop that swallows it.
+                stop = asyncio.create_task(engine.stop())
+                done, _ = await asyncio.wait({stop}, timeout=2.0)
+                stop.cancel()
+                self.assertEqual(1, len(done))
+
+        self.run_async(body())
+
     def test_resume_continues_after_a_lost_connection(self):
         """Guards against a resume that repeats or skips tokens."""
 
