Let racing creators of a program meet at a common quorum

The stateful test found that an entry that had lost the race to create a program could not take it over later: its own store refused another start record. The first copy set no longer depends on the creator, so two starts cannot both be acknowledged, and a start without a quorum is replaced like any other record. A process that has dropped a copy no longer counts as one that never had it.

--- a/src/jayvalve/internal/programs/acquisition.py
+++ b/src/jayvalve/internal/programs/acquisition.py
@@ -89,18 +89,18 @@
         return Location(owner, max(map(_promised, states.values())), sets, ended)
 
     async def reserve(self, key: str, members: list[str], term: Term) -> None:
-        """Promise the term at every member of a new program's copy set.
+        """Fence all other creators of a program at a read quorum of its first copy set.
 
         Raises:
-            OwnerUnavailableError: a member did not answer, or knows the program.
+            OwnerUnavailableError: too few members answered, or one knows the program.
             StaleTermError: another entry creates the program under a higher term.
 
         """
         states = await self._ask(key, members, term, promise=True)
         _check_promises(key, states, term)
         known = any(state.found for state in states.values())
-        if known or len(states) < len(members):
-            raise OwnerUnavailableError(f"{key} exists or {members} did not all answer")
+        if known or not has_answers([members], states, read=True):
+            raise OwnerUnavailableError(f"{key} exists or too few of {members} answered")
 
     async def gather(self, key: str, sets: list[list[str]], term: Term) -> list[bytes]:
         """Fence all earlier owners and return the history with each acknowledged record.
--- a/src/jayvalve/internal/programs/copies.py
+++ b/src/jayvalve/internal/programs/copies.py
@@ -74,6 +74,7 @@
         self._copies: dict[str, _Copy] = {}
         self._bytes = 0
         self._next_expiry_s = 0.0
+        self._has_forgotten = False
 
     @property
     def holder(self) -> str:
@@ -109,6 +110,7 @@
         """Forget a program whose owner has confirmed that this process is no member."""
         copy = self._copies.pop(program, None)
         self._bytes -= copy.size if copy else 0
+        self._has_forgotten = True
 
     def write(self, message: CopyWrite) -> CopyAck:
         """Store records, or answer why not.
@@ -143,22 +145,22 @@
         """Return the copy; with promise, refuse terms below the message's from now on.
 
         A copy that has promised a higher term says so in the answer and promises nothing.
-        An answer without records names this process as the only member, so that the reader
-        can tell a process that never had the program from one that restarted.
+        An answer without records names this process as the only member if it certainly never
+        had the program, and nobody if it may have forgotten it.
         """
         self._expire()
         copy = self._copies.get(message.program)
         if message.promise:
             copy = self._promise(message.program, Term(message.epoch, message.handover))
         if copy is None:
-            return CopyState(False, members=[self._holder])
+            return CopyState(False, members=self._never_had())
         held = bool(copy.records)
         return CopyState(
             found=held or copy.ended,
             epoch=copy.accepted.epoch,
             handover=copy.accepted.handover,
             organisation=copy.organisation,
-            members=list(copy.members) if held else [self._holder],
+            members=list(copy.members) if held else self._never_had(),
             records=list(copy.records),
             checksum=copy.chain_at(len(copy.records)),
             promised_epoch=copy.promised.epoch,
@@ -183,6 +185,9 @@
         copy.ended = True
         return Accepted()
 
+    def _never_had(self) -> list[str]:
+        return [] if self._has_forgotten else [self._holder]
+
     def _promise(self, program: str, term: Term) -> _Copy:
         copy = self._copies.setdefault(program, _Copy())
         copy.promised = max(copy.promised, term)
@@ -216,9 +221,6 @@
             return ("gap", 0) if message.sequence else ("checksum", count)
         if not count:
             return "", 0
-        if message.sequence == 0 and message.records[:1] != copy.records[:1]:
-            # Each owner keeps the start record it has read, so this is another program's.
-            return "conflict", count
         if term == copy.accepted:
             shared = message.records[: count - message.sequence]
             if chain(start, shared) != copy.chain_at(message.sequence + len(shared)):
@@ -239,4 +241,4 @@
             if not copy.records and copy.touched_s < limit
         ]
         for name in expired:
-            del self._copies[name]
+            self._has_forgotten |= self._copies.pop(name).ended
--- a/src/jayvalve/internal/programs/ownership.py
+++ b/src/jayvalve/internal/programs/ownership.py
@@ -14,6 +14,7 @@
     ProgramUnknownError,
     StaleTermError,
 )
+from jayvalve.internal.hashing import rendezvous_order
 from jayvalve.internal.programs.acquisition import CopyReader, Location
 from jayvalve.internal.programs.copies import CopyStore
 from jayvalve.internal.programs.copy_set import choose_copy_set
@@ -46,7 +47,8 @@
     """The programs of one entry.
 
     A record that is acknowledged is in every later owner's history. Names of processes in
-    peers and in copy sets differ between two lifetimes of a process, see CopyStore.
+    peers and in copy sets differ between two lifetimes of a process, see CopyStore. entries
+    returns the names of the processes that may own programs; the default takes all.
     """
 
     def __init__(
@@ -57,11 +59,13 @@
         peers: Peers,
         acquire_epoch: AcquireEpoch,
         clock: Clock,
+        entries: Callable[[], Iterable[str]] | None = None,
     ) -> None:
         self._store = store
         self._centre = data_centre
         self._send = send
         self._peers = peers
+        self._entries = entries or self._centres
         self._clock = clock
         self._terms = TermSource(acquire_epoch)
         self._owned: dict[str, OwnedProgram] = {}
@@ -102,7 +106,7 @@
         async with self._locks.get(key):
             if key in self._owned or await self._reader.lookup(key) is not None:
                 raise OwnerUnavailableError(f"program {key} exists")
-            members = self._choose(key)
+            members = self._first_copy_set(key)
             term = await self._terms.above(key, self._store.promised(key))
             await self._reader.reserve(key, members, term)
             program = Program(identity)
@@ -110,6 +114,8 @@
             owned = self._adopt(key, program, [record], term, [members])
         with self._dropping_stale(key, owned):
             await owned.flush(timeout_s)
+        if self._store.holder not in members:
+            await self.change_copy_set(identity, timeout_s)
         return program
 
     async def append(
@@ -122,9 +128,8 @@
             HistoryUnavailableError: no quorum in time, see CopyWriter.write.
 
         """
-        key = identity.root.key
-        owned = self._require(key)
-        with self._dropping_stale(key, owned):
+        owned = self._require(identity.root.key)
+        with self._dropping_stale(identity.root.key, owned):
             await owned.append(record, timeout_s)
 
     async def take_over(self, identity: ProgramId) -> Program:
@@ -184,7 +189,7 @@
         program = check_hand_over(message)
         async with self._locks.get(key):
             owned = self._owned.get(key)
-            if owned is not None and owned.writer.term == term:
+            if owned and owned.writer.term == term:
                 return Accepted()
             if not self._terms.accept(key, term):
                 raise StaleTermError(f"hand-over of {key} under {term} came too late")
@@ -221,7 +226,7 @@
             owned.writer.close()
 
     def _drop_owned(self, key: str, owned: OwnedProgram) -> None:
-        # A late error of an earlier ownership must not end a newer one.
+        # A late error of an earlier ownership does not end a newer one.
         owned.writer.close()
         if self._owned.get(key) is owned:
             del self._owned[key]
@@ -277,6 +282,12 @@
             self._drop_owned(key, owned)
             raise
 
+    def _first_copy_set(self, key: str) -> list[str]:
+        # It must not depend on who creates the program: two creators that race have to meet
+        # at a common quorum.
+        first = rendezvous_order(key, {*self._entries(), self._store.holder})[0]
+        return choose_copy_set(key, first, self._centres().items())
+
     def _choose(self, key: str) -> list[str]:
         return choose_copy_set(key, self._store.holder, self._centres().items())
 
