--- a/src/jayvalve/internal/programs/ownership.py
+++ b/src/jayvalve/internal/programs/ownership.py
@@ -200,15 +200,13 @@
         self, identity: ProgramId, timeout_s: float = WRITE_TIMEOUT_S
     ) -> None:
         """Replace members that are no longer live."""
-        key = identity.root.key
-        owned = self._require(key)
+        owned = self._require(key := identity.root.key)
         with self._dropping_stale(key, owned):
             await owned.change_members(self._choose(key), self._centres().items(), timeout_s)
 
     async def end(self, identity: ProgramId, timeout_s: float = WRITE_TIMEOUT_S) -> set[str]:
         """End a program and release its copies; return the members that were not reached."""
-        key = identity.root.key
-        owned = self._require(key)
+        owned = self._require(key := identity.root.key)
         if not owned.program.ended:
             await self.append(identity, owned.program.end_record(), timeout_s)
         term = owned.writer.term
--- a/tests/cover/test_programs_ownership.py
+++ b/tests/cover/test_programs_ownership.py
@@ -299,6 +299,27 @@
 
         self.run_body(body())
 
+    def test_loser_of_a_creation_race_takes_over(self):
+        """Guards against a start record without quorum that blocks its store for good."""
+        processes = self.start()
+
+        async def body():
+            late = asyncio.create_task(processes["a"].table.create(PROGRAM, LIMITS))
+            while not processes["a"].store.records(PROGRAM.key):
+                await asyncio.sleep(0.0001)
+            self.network.blocked = {("a", host) for host in HOSTS}
+            with ExpectedException(HistoryUnavailableError):
+                await late
+            processes["a"].table.drop(PROGRAM.key)
+            # Nobody else knows the program, since the first creator is cut off.
+            self.network.blocked |= {(host, "a") for host in HOSTS}
+            await self.create("d")
+            self.network.blocked = set()
+            await self.checker.take_over(processes["a"], PROGRAM)
+            await self.checker.append(processes["a"], PROGRAM, intent("r"))
+
+        self.run_body(body())
+
     def test_ended_program(self):
         """Guards against memory of ended programs and against their revival."""
         processes = self.start()
--- a/tests/cover/test_programs_sequence.py
+++ b/tests/cover/test_programs_sequence.py
@@ -127,3 +127,17 @@
 
         self.run_async(body())
         self.assertEqual([], self.ran)
+
+    def test_restored_turns(self):
+        """Guards against a repeat that runs again after a takeover."""
+
+        async def body():
+            turns = TurnSequence(CLOCK)
+            turns.restore(4, "r", "d", "stored")
+            repeat = await turns.run(call("r", 4), self.execute)
+            with ExpectedException(InvalidRequestError):
+                await turns.run(call("s", 3), self.execute)
+            return [repeat, await turns.run(call("t"), self.execute)]
+
+        self.assertEqual(["stored", "answer 5"], self.run_async(body()))
+        self.assertEqual([5], self.ran)
