Give racing creators different start records in the test

With equal limits both start records were the same bytes, so the test passed with the fault it guards against. It now fails with the earlier rule of the store.

--- a/tests/cover/test_programs_ownership.py
+++ b/tests/cover/test_programs_ownership.py
@@ -304,7 +304,7 @@
         processes = self.start()
 
         async def body():
-            late = asyncio.create_task(processes["a"].table.create(PROGRAM, LIMITS))
+            late = asyncio.create_task(processes["a"].table.create(PROGRAM, [9, None, None]))
             while not processes["a"].store.records(PROGRAM.key):
                 await asyncio.sleep(0.0001)
             self.network.blocked = {("a", host) for host in HOSTS}
