Check a replaced owner only against what its term covers

The trace showed an owner of term 4 that had not noticed its replacement; the record was acknowledged under term 6 and present at all members of that term. The checker now compares each owner with the records of its own and lower terms; the last check of each example, under the highest term, still covers every record.

--- a/tests/cover/test_programs_ownership.py
+++ b/tests/cover/test_programs_ownership.py
@@ -320,6 +320,21 @@
 
         self.run_body(body())
 
+    def test_replaced_owner_is_not_the_latest(self):
+        """Guards against a checker that expects later records of a replaced owner."""
+        processes = self.start()
+
+        async def body():
+            owner = await self.create()
+            self.network.blocked = {pair for h in HOSTS for pair in ((h, "a"), ("a", h))}
+            await self.checker.take_over(processes["d"], PROGRAM)
+            await self.checker.append(processes["d"], PROGRAM, intent("new"))
+            await self.checker.take_over(owner, PROGRAM)
+            with ExpectedException(Violation):
+                self.checker.check_history(PROGRAM, owner.store.records(PROGRAM.key))
+
+        self.run_body(body())
+
     def test_ended_program(self):
         """Guards against memory of ended programs and against their revival."""
         processes = self.start()
--- a/tests/fakes_network.py
+++ b/tests/fakes_network.py
@@ -5,7 +5,7 @@
 import selectors
 
 from jayvalve.errors import HistoryUnavailableError, JayvalveError, PeerUnavailableError
-from jayvalve.internal.programs import Amount, CopyStore, OwnershipTable, Program, ProgramId
+from jayvalve.internal.programs import Amount, CopyStore, OwnershipTable, Program, ProgramId, Term
 from jayvalve.internal.programs.records import decode_record
 from jayvalve.internal.timing import Clock
 from jayvalve.internal.wire import HEADER, decode, encode
@@ -30,6 +30,7 @@
 HOSTS = {"a": "catania", "b": "palermo", "c": "siracusa", "d": "catania", "e": "palermo"}
 PROGRAM = ProgramId("club", "p")
 LIMITS = [300, None, None]
+LOWEST_TERM = Term(0)
 
 
 class _JumpingSelector(selectors.DefaultSelector):
@@ -206,22 +207,29 @@
 
     def __init__(self):
         self.acknowledged = {}
+        self._terms = {}
 
-    def acknowledge(self, key, record):
-        """Note a record that an owner reported as replicated."""
+    def acknowledge(self, key, record, term=LOWEST_TERM):
+        """Note a record that the owner of a term reported as replicated."""
         number = decode_record(record).number
+        self._terms.setdefault((key, number), term)
         known = self.acknowledged.setdefault(key, {}).setdefault(number, record)
         if known != record:
             raise Violation(f"two records {number} of {key} were acknowledged")
 
-    def check_history(self, identity, records):
-        """Check the history that the latest owner has."""
+    def check_history(self, identity, records, term=None):
+        """Check the history of a term's owner, by default that of the latest owner.
+
+        It holds what was acknowledged under its own and lower terms. A replaced owner that has
+        not noticed yet may lack what its successors acknowledged.
+        """
         try:
             program = Program.from_records(identity, records)
         except JayvalveError as error:
             raise Violation(f"history of {identity.key} does not apply: {error}") from error
         for number, record in self.acknowledged.get(identity.key, {}).items():
-            if records[number : number + 1] != [record]:
+            due = term is None or self._terms[identity.key, number] <= term
+            if due and records[number : number + 1] != [record]:
                 raise Violation(f"acknowledged record {number} of {identity.key} is lost")
         self.check_budget(program)
 
@@ -248,14 +256,15 @@
             raise HistoryUnavailableError("not owned")
         record = build(owned.program)
         await process.table.append(identity, record)
-        self.acknowledge(identity.key, record)
+        self.acknowledge(identity.key, record, owned.writer.term)
         return record
 
     async def take_over(self, process, identity):
         """Take a program over and check what the new owner has."""
         await process.table.take_over(identity)
-        if process.table.get(identity) is not None:
-            self.check_history(identity, process.store.records(identity.key))
+        owned = process.table.get(identity)
+        if owned is not None:
+            self.check_history(identity, process.store.records(identity.key), owned.writer.term)
 
 
 def intent(tag, tokens=10, name="p"):
