Refuse configuration values that cannot be written back or reached

Python reads 1e999 as infinity and its regular expressions let a final newline pass, so a document could be published that no reader can parse or whose address is unusable.

--- a/src/jayvalve/internal/configuration/document.py
+++ b/src/jayvalve/internal/configuration/document.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from jayvalve.errors import InvalidSettingsError
 from jayvalve.internal.configuration.rules import Rules
 from jayvalve.internal.configuration.validation import check_document, parse_json
 from jayvalve.internal.hashing import digest
@@ -12,6 +13,15 @@
 __all__ = ["Document", "Endpoint", "Inventory", "Limits", "Model"]
 
 
+def _canonical_json(value: Any) -> bytes:
+    try:
+        return json.dumps(
+            value, sort_keys=True, separators=(",", ":"), ensure_ascii=False, allow_nan=False
+        ).encode()
+    except ValueError as error:
+        raise InvalidSettingsError(f"configuration cannot be written as JSON: {error}") from error
+
+
 @attrs.frozen
 class Limits:
     """Bounds of one endpoint in numbers of calls."""
@@ -116,7 +126,7 @@
         return cls(
             Inventory.from_config(value["inventory"]),
             Rules.from_config(value.get("rules", {})),
-            json.dumps(value, sort_keys=True, separators=(",", ":"), ensure_ascii=False).encode(),
+            _canonical_json(value),
         )
 
     @property
--- a/src/jayvalve/internal/configuration/validation.py
+++ b/src/jayvalve/internal/configuration/validation.py
@@ -1,7 +1,9 @@
 """Checks of configuration documents that report every fault with its path."""
 
 import functools
+import ipaddress
 import json
+import math
 from collections import Counter
 from importlib import resources
 from typing import Any
@@ -32,7 +34,12 @@
 
     """
     try:
-        return json.loads(text, object_pairs_hook=_unique_keys, parse_constant=_refuse_constant)
+        return json.loads(
+            text,
+            object_pairs_hook=_unique_keys,
+            parse_constant=_refuse_constant,
+            parse_float=_finite_float,
+        )
     except (ValueError, RecursionError) as error:
         raise InvalidSettingsError(f"configuration is not valid JSON: {error}") from error
 
@@ -61,6 +68,14 @@
     raise ValueError(f"{name} is not a JSON number")
 
 
+def _finite_float(text: str) -> float:
+    # Python reads 1e999 as infinity, which is not JSON when it is written again.
+    number = float(text)
+    if not math.isfinite(number):
+        raise ValueError(f"number {text:.40} is too large")
+    return number
+
+
 def _shape_faults(value: Any) -> list[str]:
     if not isinstance(value, dict):
         return ["$: must be an object with inventory and rules"]
@@ -101,8 +116,13 @@
 
 def _endpoint_faults(endpoint: dict[str, Any], path: str) -> list[str]:
     faults = []
-    if int(endpoint["address"].rpartition(":")[2]) not in range(1, 65536):
+    host, _, port = endpoint["address"].rpartition(":")
+    if int(port) not in range(1, 65536):
         faults.append(f"{path}.address: port must be between 1 and 65535")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        faults.append(f"{path}.address: {host!r} is not an IP address")
     if endpoint["role"] == "model" and endpoint.get("services"):
         faults.append(f"{path}.services: only an endpoint with role application has services")
     if endpoint["role"] == "application" and endpoint.get("models"):
--- a/src/jayvalve/internal/placement/records.py
+++ b/src/jayvalve/internal/placement/records.py
@@ -91,6 +91,18 @@
         return msgpack.packb(["order", *attrs.astuple(self)], use_bin_type=True)
 
 
+def _endpoint_row(
+    name: str, offset: int, head: int, ordered_at: float | None, role: str, held: Any
+) -> tuple[str, int, int, float | None, str, tuple[str, ...]]:
+    """Return one row of a snapshot; ValueError if a value has the wrong type."""
+    held = tuple(held)
+    texts = all(isinstance(value, str) for value in (name, role, *held))
+    numbers = isinstance(offset, int) and isinstance(head, int)
+    if not texts or not numbers or not isinstance(ordered_at, int | float | None):
+        raise ValueError(f"row of endpoint {name!r:.60} is malformed")
+    return name, offset, head, ordered_at, role, held
+
+
 @attrs.frozen
 class Snapshot:
     """State of the fold after the record at offset through, which renews the stream."""
@@ -102,10 +114,7 @@
         )
     )
     endpoints: tuple = attrs.field(
-        converter=lambda values: tuple(
-            (str(name), int(offset), int(head), ordered_at, str(role), tuple(held))
-            for name, offset, head, ordered_at, role, held in values
-        )
+        converter=lambda values: tuple(_endpoint_row(*value) for value in values)
     )
     loads: tuple[float, ...] = attrs.field(converter=lambda values: tuple(map(float, values)))
 
@@ -124,7 +133,7 @@
         record_type = _KINDS[parts[0]]
         # Newer versions may append fields.
         return record_type(*parts[1 : 1 + len(attrs.fields(record_type))])
-    except (ValueError, TypeError, KeyError, IndexError, msgpack.UnpackException):
+    except (ValueError, TypeError, KeyError, IndexError, OverflowError, msgpack.UnpackException):
         return None
 
 
--- a/tests/cover/test_configuration.py
+++ b/tests/cover/test_configuration.py
@@ -75,9 +75,31 @@
             self.assertIn(part, error.message)
 
     def test_text_that_parsers_read_differently_is_refused(self):
-        for text in ('{"rules": {}, "rules": {}}', '{"rules": NaN}', "[", b"\xff", "[" * 99999):
+        for text in (
+            '{"rules": {}, "rules": {}}',
+            '{"rules": NaN}',
+            "[",
+            "1e999",
+            b"\xff",
+            "[" * 99999,
+        ):
             self.assertRaises(InvalidSettingsError, Document.from_json, text)
 
+    def test_values_that_cannot_be_written_or_reached_are_refused(self):
+        for extra, reason in [
+            ({"address": "127.0.0.1:1\n"}, "address"),
+            ({"address": "127.0.0.999:1"}, "not an IP address"),
+            ({"data_centre": "catania\n"}, "data_centre"),
+            ({"non_repeatable_paths": ["/\ud800"]}, "cannot be written"),
+        ]:
+            value = {"inventory": {"endpoints": [endpoint("e1", **extra)]}}
+            text = json.dumps(value)
+            error = self.assertRaises(InvalidSettingsError, Document.from_json, text)
+            self.assertIn(reason, error.message)
+        value = {"inventory": {"endpoints": []}, "rules": {"program_idle_s": 5}}
+        value["rules"]["ranks"] = {"urgent": {"worth": float("inf")}}
+        self.assertRaises(InvalidSettingsError, Document.from_value, value)
+
     def test_digest_ignores_layout_and_defaults_are_filled_in(self):
         value = {"rules": {"program_idle_s": 60}, "inventory": {"endpoints": [endpoint("e1")]}}
         first = Document.from_json(json.dumps(value, indent=3))
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -1,10 +1,12 @@
 """Checks of the placement fold and its decider."""
 
+import msgpack
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from jayvalve.internal.configuration import PlacementRule
+from jayvalve.internal.claims import ClaimTable
+from jayvalve.internal.configuration import ConfigurationFold, PlacementRule
 from jayvalve.internal.hashing import rendezvous_order
 from jayvalve.internal.log import LogRecord
 from jayvalve.internal.placement import (
@@ -14,6 +16,7 @@
     PlacementFold,
     PlacementOrder,
 )
+from tests.cover.test_codec import junk_values
 
 LIVE = ("e1", "e2", "e3")
 
@@ -144,6 +147,19 @@
         self.assertIn("no base", bare.reason)
         self.assertIn("malformed", Stream(inventory()).put(b"\x92\xa5order\x01", 0.0).reason)
 
+    @settings(max_examples=500, derandomize=True, deadline=None)
+    @given(
+        st.sampled_from(["publish", "inventory", "order", "renew", "claim", "outcome", "settled"]),
+        st.lists(junk_values, max_size=10),
+    )
+    def test_malformed_records_do_not_stop_any_fold(self, kind, fields):
+        data = msgpack.packb([kind, *fields])
+        batch = msgpack.packb([[kind, *fields]])
+        for offset in (0, 7):
+            self.assertFalse(ConfigurationFold().apply(LogRecord(offset, 0.0, data)).accepted)
+            PlacementFold().apply(LogRecord(offset, 0.0, data))
+            ClaimTable(9.0).apply(LogRecord(offset, 0.0, batch))
+
     def test_two_deciders_cannot_remove_both_endpoints(self):
         held = {"e1": ["model:m"], "e2": ["model:m"]}
         stream = Stream(inventory(**held))
