Close gaps that mutation trials showed in the log, configuration and claims tests

Four faults placed by hand went unnoticed: applying earlier records again, forgetting that a repeated publish was accepted, and two ways to take a wrong attempt number. Each now has a test.

--- a/tests/cover/test_claims.py
+++ b/tests/cover/test_claims.py
@@ -143,6 +143,11 @@
         history = [[claim("a")], [claim("b", 2)], [outcome("a", "not_run")], [claim("b", 2)]]
         self.assertEqual("not_run", table_of(*history).get("org", "k").verdict)
 
+    def test_only_the_next_attempt_number_may_claim_after_not_run(self):
+        for number, expected in [(1, "a"), (2, "b"), (3, "a")]:
+            table = table_of([claim("a")], [outcome("a", "not_run")], [claim("b", number)])
+            self.assertEqual(expected, table.get("org", "k").claim.claim_id, number)
+
     def test_verdicts_change_only_from_uncertain_to_known(self):
         for verdicts, expected in [
             (["may_have_run", "ran"], "ran"),
@@ -265,6 +270,7 @@
             self.assertEqual(
                 ("done", "not_run", 1), (same.state, same.verdict, same.attempt_number)
             )
+            self.assertEqual(2, len(log.appends))
             decision = await relay.claim(request("c", 2), seconds(5))
             self.assertEqual(("granted", 2), (decision.state, decision.attempt_number))
 
--- a/tests/cover/test_configuration.py
+++ b/tests/cover/test_configuration.py
@@ -295,6 +295,15 @@
 
         self.run_with(scenario)
 
+    def test_second_copy_does_not_hide_that_the_publish_was_accepted(self):
+        async def scenario(log, follower, publisher):
+            record = Publish("p", 1, 0, "", document().canonical, "ada").pack()
+            offsets = [log.put("config", record), log.put("config", record)]
+            await follower.log.wait_for(offsets[-1], 2)
+            self.assertTrue(follower.result("p").accepted)
+
+        self.run_with(scenario)
+
     def test_unconfirmed_publish_may_still_take_effect(self):
         async def scenario(log, follower, publisher):
             await follower.log.wait_caught_up(2)
--- a/tests/cover/test_log.py
+++ b/tests/cover/test_log.py
@@ -135,6 +135,21 @@
 
         self.run_async(scenario())
 
+    def test_records_before_the_wanted_offset_are_not_applied_again(self):
+        class EagerLog(FakeLog):
+            async def read(self, stream, start, limit, wait_s):
+                return await super().read(stream, max(0, start - 1), limit, wait_s)
+
+        async def scenario():
+            log, seen = EagerLog(), []
+            follower = LogFollower(log, "s", lambda record: seen.append(record.offset))
+            for _ in range(3):
+                log.put("s", b"")
+                await follower.read_once()
+            self.assertEqual([0, 1, 2], seen)
+
+        self.run_async(scenario())
+
     def test_truncation_is_reported_with_the_missing_range(self):
         async def scenario():
             log, gaps, seen = FakeLog(), [], []
