--- a/src/jayvalve/demo.py
+++ b/src/jayvalve/demo.py
@@ -24,6 +24,8 @@
 REPEAT_INTERVAL_S = 0.3
 REPEAT_LIMIT = 60
 TURNS = 4
+# The platform replaces an instance that has ended.
+REPLACEMENT_DELAY_S = 2.0
 PROGRAMS = 6
 MAX_CLIENTS = 200
 
@@ -176,10 +178,11 @@
         self._say(f"killing {entry} and {sidecar} in the middle of the work")
         self._processes.kill(entry)
         self._processes.kill(sidecar)
-        await work
-        self._say(f"all programs finished after {self._caller.repeats} repeated requests")
+        await asyncio.sleep(REPLACEMENT_DELAY_S)
         for name in (entry, sidecar):
             self._processes.spawn(name)
+        await work
+        self._say(f"all programs finished after {self._caller.repeats} repeated requests")
         for name in self._processes.entry_names:
             await self._processes.wait_ready(name)
 
@@ -191,7 +194,11 @@
             response, answer = await self._caller.chat(
                 self._plan.ordinary_model, program, turn, text
             )
-            self._checks.check(5, response.code == 200 and bool(answer), f"{program} {turn}")
+            self._checks.check(
+                5,
+                response.code == 200 and bool(answer),
+                f"{program} {turn}: {response.body[:80]!r}",
+            )
             self._checks.check(
                 1, response.headers.get("Jayvalve-Turn") == str(turn), f"{program} turn {turn}"
             )
@@ -206,7 +213,7 @@
 
     async def _check_history(self, program: str, texts: list[str], answers: list[str]) -> None:
         response = await self._caller.call(f"/v1/programs/{program}/history", None, {})
-        contents = [message["content"] for message in json.loads(response.body)["messages"]]
+        contents = [message["content"] for message in json.loads(response.body).get("messages", [])]
         expected = [part for pair in zip(texts, answers, strict=True) for part in pair]
         self._checks.check(2, contents == expected, f"{program}: {len(contents)} messages")
 
@@ -217,7 +224,9 @@
             response, _ = await self._caller.chat(
                 self._plan.ordinary_model, "looping", turn, "again", budget="calls=3"
             )
-            answered += response.code == 200
+            if response.code != 200:
+                break
+            answered += 1
         self._checks.check(3, answered == 3, f"{answered} calls ran on a budget of 3")
         code = json.loads(response.body)["error"]["code"]
         self._checks.check(3, code == "budget_exceeded", code)
--- a/src/jayvalve/internal/entry/app.py
+++ b/src/jayvalve/internal/entry/app.py
@@ -43,7 +43,7 @@
 from jayvalve.internal.membership import HeartbeatSource, MemberChange
 from jayvalve.internal.programs import CopyStore, OwnershipTable, ProgramId
 from jayvalve.internal.programs.handlers import register_copies
-from jayvalve.internal.runtime import Runtime, holder_name
+from jayvalve.internal.runtime import Runtime, holder_name, split_holder_name
 from jayvalve.internal.settings import Settings
 from jayvalve.internal.timing import Clock
 from jayvalve.internal.transport import PeerContext
@@ -63,6 +63,8 @@
 DRAIN_POLL_S = 0.05
 JOIN_RETRY_S = 1.0
 UPKEEP_INTERVAL_S = 1.0
+# Seeds and sidecars that do not answer for this time after the start are taken to be gone.
+SETTLE_LIMIT_S = 6.0
 DEFAULT_RULES = Rules()
 
 
@@ -75,6 +77,8 @@
         self._stack = contextlib.AsyncExitStack()
         self._clock = self._runtime.clock
         self._active_requests = 0
+        self._created_s = self._clock.now()
+        self._settled = False
         self._log = LogClient(settings.log_url) if settings.log_url else None
         self._build_configuration()
         self._build_programs()
@@ -129,6 +133,8 @@
             self._holders,
             epochs.acquire,
             self._clock,
+            entries=self._entry_holders,
+            has_ended=self._has_ended,
         )
         self._placement = ProgramPlacement(
             self._settings.instance,
@@ -136,6 +142,7 @@
             self._table,
             runtime.view,
             lambda: runtime.draining,
+            self._is_settled,
         )
 
     def _build_calls(self) -> None:
@@ -314,6 +321,19 @@
             return "unknown"
         return "ended" if location.ended else "active"
 
+    def _is_settled(self) -> bool:
+        """Return whether this process knows all members, as far as it can tell."""
+        if not self._settled:
+            view = self._runtime.view
+            waited_s = self._clock.now() - self._created_s
+            known = all(view.by_address(seed) for seed in self._settings.seeds)
+            known = known and self._configuration.version > 0
+            known = known and all(
+                view.by_address(endpoint.address) for endpoint in self._directory.endpoints
+            )
+            self._settled = known or waited_s > SETTLE_LIMIT_S
+        return self._settled
+
     def _entries(self) -> dict[str, str]:
         """Return the live entries, this one included, as instance to address."""
         identity = self._runtime.identity
@@ -327,10 +347,22 @@
             for member in self._runtime.view.usable()
         ]
 
+    def _entry_holders(self) -> list[str]:
+        """Return the names of the processes that may own programs."""
+        members = self._runtime.view.usable(ROLE)
+        names = [holder_name(member.instance, member.incarnation) for member in members]
+        return [*names, self._runtime.holder]
+
+    def _has_ended(self, name: str) -> bool:
+        instance, incarnation = split_holder_name(name)
+        if instance == self._settings.instance:
+            return incarnation < self._runtime.identity.incarnation
+        return self._runtime.view.incarnation_ended(instance, incarnation)
+
     async def _send_to_holder(self, name: str, message: Message, timeout_s: float) -> Message:
-        instance, _, incarnation = name.rpartition("#")
+        instance, incarnation = split_holder_name(name)
         member = self._runtime.view.get(instance)
-        if member is None or str(member.incarnation) != incarnation:
+        if member is None or member.incarnation != incarnation:
             raise PeerUnavailableError(f"{name} is not known or was replaced")
         return await self._runtime.pool.call(member.address, message, timeout_s)
 
--- a/src/jayvalve/internal/entry/placement.py
+++ b/src/jayvalve/internal/entry/placement.py
@@ -10,6 +10,7 @@
 from jayvalve.internal.hashing import rendezvous_order
 from jayvalve.internal.membership import Member, MembershipView
 from jayvalve.internal.programs import Location, OwnedProgram, OwnershipTable, ProgramId
+from jayvalve.internal.runtime import split_holder_name
 
 __all__ = ["ProgramPlacement"]
 
@@ -33,12 +34,14 @@
         table: OwnershipTable,
         view: MembershipView,
         is_draining: Callable[[], bool],
+        is_settled: Callable[[], bool],
     ) -> None:
         self._instance = instance
         self._holder = holder
         self._table = table
         self._view = view
         self._is_draining = is_draining
+        self._is_settled = is_settled
         self._locks: dict[str, asyncio.Lock] = {}
 
     def preferred_owner(self, key: str) -> str | None:
@@ -83,6 +86,9 @@
         owned = self._table.get(identity)
         if owned is not None and not owned.handing_over:
             return owned
+        if not self._is_settled():
+            # A lookup among the few processes known so far could miss all copies.
+            raise OwnerUnavailableError("this entry has started and does not know all members yet")
         location = await self._table.lookup(identity)
         if location is None:
             return await self._create(identity, limits)
@@ -112,10 +118,10 @@
         return owned
 
     def _living_owner(self, location: Location) -> Member | None:
-        instance, _, incarnation = location.owner.rpartition("#")
+        instance, incarnation = split_holder_name(location.owner)
         if location.owner == self._holder:
             return None
         member = self._view.get(instance)
-        if member is None or str(member.incarnation) != incarnation or member.state.is_gone:
+        if member is None or member.incarnation != incarnation or member.state.is_gone:
             return None
         return member
--- a/src/jayvalve/internal/membership/view.py
+++ b/src/jayvalve/internal/membership/view.py
@@ -87,6 +87,17 @@
             return self._floors.excludes(instance, incarnation)
         return incarnation < record.member.incarnation or record.is_gone
 
+    def incarnation_ended(self, instance: str, incarnation: int) -> bool:
+        """Return whether this incarnation has ended for good.
+
+        A dead report alone is no proof: the process may be paused or cut off. A newer process
+        of the same name, a process at its address, or its own farewell are.
+        """
+        record = self._records.get(instance)
+        if record is None or incarnation > record.member.incarnation:
+            return self._floors.excludes(instance, incarnation)
+        return incarnation < record.member.incarnation or record.final
+
     def refutation_of(self, instance: str) -> int:
         """Return the highest refutation number seen of the current incarnation."""
         record = self._records.get(instance)
--- a/src/jayvalve/internal/programs/acquisition.py
+++ b/src/jayvalve/internal/programs/acquisition.py
@@ -29,6 +29,8 @@
 # Deployments up to the first size are asked as a whole, larger ones up to the second.
 SMALL_DEPLOYMENT = 16
 LOOKUP_PROCESSES = 8
+# A program has at least two living holders, so one silent process cannot hide it.
+MAX_SILENT = 1
 # Each round follows one more change of the copy set; changes are minutes apart.
 MAX_ROUNDS = 8
 
@@ -37,12 +39,16 @@
 
 @attrs.frozen
 class Location:
-    """What the copies say about a program: its owner's name and the highest term seen."""
+    """What the copies say about a program: its owner's name and the highest term seen.
+
+    silent holds the processes that were asked and did not answer.
+    """
 
     owner: str
     term: Term
     sets: list[list[str]]
     ended: bool
+    silent: frozenset[str] = frozenset()
 
 
 def _accepted(state: CopyState) -> Term:
@@ -60,16 +66,23 @@
 class CopyReader:
     """Reads copies on behalf of one process; peers returns the names of live processes."""
 
-    def __init__(self, store: CopyStore, send: Send, peers: Callable[[], Iterable[str]]) -> None:
+    def __init__(
+        self,
+        store: CopyStore,
+        send: Send,
+        peers: Callable[[], Iterable[str]],
+        has_ended: Callable[[str], bool] = lambda name: False,
+    ) -> None:
         self._store = store
         self._send = send
         self._peers = peers
+        self._has_ended = has_ended
 
     async def lookup(self, key: str) -> Location | None:
         """Return where a program is, or None if it exists nowhere.
 
         Raises:
-            OwnerUnavailableError: nobody knows it, but fewer than a majority answered.
+            OwnerUnavailableError: nobody knows it, but too few answered.
 
         """
         names = rendezvous_order(key, {self._store.holder, *self._peers()})
@@ -77,7 +90,8 @@
         states = await self._ask(key, asked, Term(0), promise=False)
         found = [state for state in states.values() if state.found]
         if not found:
-            if len(states) * 2 <= len(asked):
+            silent = len(asked) - len(states)
+            if silent > MAX_SILENT or silent >= len(states):
                 raise OwnerUnavailableError(
                     f"{len(states)} of {len(asked)} processes answered for {key}"
                 )
@@ -86,7 +100,19 @@
         ended = any(state.ended for state in found)
         sets = [] if ended else self._sets(key, best)
         owner = best.members[0] if best.members else ""
-        return Location(owner, max(map(_promised, states.values())), sets, ended)
+        silent = frozenset(asked) - states.keys()
+        return Location(owner, max(map(_promised, states.values())), sets, ended, silent)
+
+    def can_gather(self, location: Location) -> bool:
+        """Return whether enough members answered the lookup for a takeover to succeed."""
+        members = {name for group in location.sets for name in group}
+        # Members that were not asked may answer later.
+        answering = {name for name in members if name not in location.silent}
+        answering -= {name for name in members if self._has_ended(name)}
+        return self._is_read_quorum(location.sets, answering)
+
+    def _is_read_quorum(self, sets: list[list[str]], answered: Iterable[str]) -> bool:
+        return has_answers(sets, set(answered), read=True, has_ended=self._has_ended)
 
     async def reserve(self, key: str, members: list[str], term: Term) -> None:
         """Fence all other creators of a program at a read quorum of its first copy set.
@@ -123,7 +149,7 @@
             if newer == sets:
                 break
             sets = newer
-        if newer != sets or not has_answers(sets, valid, read=True):
+        if newer != sets or not self._is_read_quorum(sets, valid):
             raise HistoryUnavailableError(
                 f"{sorted(valid)} answered for {key}, a quorum of {sets} is needed"
             )
--- a/src/jayvalve/internal/programs/copy_set.py
+++ b/src/jayvalve/internal/programs/copy_set.py
@@ -1,6 +1,6 @@
 """Choice of the processes that hold a program's copies, and their quorums."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from jayvalve.internal.hashing import rendezvous_order
 
@@ -37,9 +37,27 @@
     return size - write_quorum(size) + 1
 
 
-def has_answers(sets: list[list[str]], answered: Collection[str], *, read: bool) -> bool:
-    """Return whether those who answered are a quorum of each set."""
+def has_answers(
+    sets: list[list[str]],
+    answered: Collection[str],
+    *,
+    read: bool,
+    has_ended: Callable[[str], bool] = lambda name: False,
+) -> bool:
+    """Return whether those who answered are a quorum of each set.
+
+    Members that have ended for good count as if they had answered, as long as one member of
+    the set did: they can acknowledge nothing more, and normally each member holds each record.
+    """
     needed = read_quorum if read else write_quorum
-    return all(
-        sum(name in answered for name in members) >= needed(len(members)) for members in sets
-    )
+    return all(_is_quorum(members, answered, needed(len(members)), has_ended) for members in sets)
+
+
+def _is_quorum(
+    members: list[str], answered: Collection[str], needed: int, has_ended: Callable[[str], bool]
+) -> bool:
+    present = sum(name in answered for name in members)
+    if present >= needed:
+        return True
+    ended = sum(name not in answered and has_ended(name) for name in members)
+    return present > 0 and present + ended >= needed
--- a/src/jayvalve/internal/programs/copy_writer.py
+++ b/src/jayvalve/internal/programs/copy_writer.py
@@ -23,8 +23,10 @@
 
 Send = Callable[[str, Message, float], Awaitable[Message]]
 
-# Time granted to the slower copy, so that normally all members hold each turn.
-SECOND_COPY_WAIT_S = 0.05
+# Time granted to the slower copy. A member that does not answer within it is replaced, so that
+# normally any single member holds each acknowledged record. 50 ms were too short: a copy that
+# was busy missed records, and the loss of the two others would have lost a turn.
+SECOND_COPY_WAIT_S = 0.5
 SEND_TIMEOUT_S = 1.0
 RETRY_DELAY_S = 0.05
 
@@ -52,6 +54,7 @@
         send: Send,
         clock: Clock,
         data_centre: Callable[[str], str] = str,
+        has_ended: Callable[[str], bool] = lambda name: False,
     ) -> None:
         self._store = store
         self._program = program
@@ -61,6 +64,7 @@
         self._send = send
         self._clock = clock
         self._data_centre = data_centre
+        self._has_ended = has_ended
         self._learners: list[str] = []
         self._count = 0
         self._held: dict[str, int] = {}
@@ -99,6 +103,12 @@
         """Members whose last write failed or was refused."""
         return (self._down | self._refused.keys()) & set(self.members)
 
+    @property
+    def has_lost_quorum(self) -> bool:
+        """Whether so many members have ended that only a change of the set helps."""
+        alive = {name for name in self._sets[-1] if not self._has_ended(name)}
+        return not has_answers(self._sets[-1:], alive, read=False)
+
     def close(self) -> None:
         """Stop sending; waiting writes fail with HistoryUnavailableError."""
         self._closed = True
@@ -187,7 +197,10 @@
         if self._fence is not None:
             return False
         holders = {name for name, held in self._acknowledged.items() if held >= count}
-        if not has_answers(self._sets, holders, read=False):
+        if not has_answers(self._sets, holders, read=False, has_ended=self._has_ended):
+            return False
+        # An ended member keeps no record, so the newest set must be a quorum without it.
+        if not has_answers(self._sets[-1:], holders, read=False):
             return False
         # Only the newest set must span data centres: a lost one must not block its replacement.
         newest = self._sets[-1]
--- a/src/jayvalve/internal/programs/ownership.py
+++ b/src/jayvalve/internal/programs/ownership.py
@@ -48,7 +48,8 @@
 
     A record that is acknowledged is in every later owner's history. Names of processes in
     peers and in copy sets differ between two lifetimes of a process, see CopyStore. entries
-    returns the names of the processes that may own programs; the default takes all.
+    returns the names of the processes that may own programs; the default takes all. has_ended
+    tells whether a process has ended for good, so that it can acknowledge nothing more.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         acquire_epoch: AcquireEpoch,
         clock: Clock,
         entries: Callable[[], Iterable[str]] | None = None,
+        has_ended: Callable[[str], bool] = lambda name: False,
     ) -> None:
         self._store = store
         self._centre = data_centre
@@ -70,7 +72,8 @@
         self._terms = TermSource(acquire_epoch)
         self._owned: dict[str, OwnedProgram] = {}
         self._locks = KeyLocks()
-        self._reader = CopyReader(store, send, self._centres)
+        self._has_ended = has_ended
+        self._reader = CopyReader(store, send, self._centres, has_ended)
 
     @property
     def epoch(self) -> int | None:
@@ -150,6 +153,12 @@
                 raise ProgramUnknownError(f"program {key} is not known")
             if location.ended:
                 raise ProgramEndedError(f"program {key} has ended")
+            if not self._reader.can_gather(location):
+                # Checked before the log is asked for a term, so that retries cost no appends.
+                raise HistoryUnavailableError(
+                    f"too few of {location.sets} answered for {key}; "
+                    f"silent: {sorted(location.silent)}"
+                )
             term = await self._terms.above(key, location.term)
             return await self._acquire(key, term, location.sets)
 
@@ -234,6 +243,9 @@
         program = Program.from_records(ProgramId.from_key(key), records)
         owned = self._adopt(key, program, records, term, program.member_sets)
         try:
+            if owned.writer.has_lost_quorum:
+                await self.change_copy_set(program.identity)
+                return program
             with self._dropping_stale(key, owned):
                 await owned.flush(WRITE_TIMEOUT_S)
         except HistoryUnavailableError:
@@ -260,6 +272,7 @@
             self._send,
             self._clock,
             lambda name: centres.get(name, ""),
+            self._has_ended,
         )
         owned = OwnedProgram(program, writer, centres)
         self._owned[key] = owned
--- a/src/jayvalve/internal/runtime.py
+++ b/src/jayvalve/internal/runtime.py
@@ -25,7 +25,7 @@
 from jayvalve.internal.transport import HandlerTable, PeerPool, PeerServer
 from jayvalve.internal.wire.messages import Hello
 
-__all__ = ["Runtime", "holder_name"]
+__all__ = ["Runtime", "holder_name", "split_holder_name"]
 
 # Large enough that a process restarted at once gets a higher number.
 INCARNATION_RESOLUTION_PER_S = 1000
@@ -45,6 +45,12 @@
     return f"{instance}#{incarnation}"
 
 
+def split_holder_name(name: str) -> tuple[str, int]:
+    """Return instance and incarnation of a holder's name; incarnation 0 if it has none."""
+    instance, _, incarnation = name.rpartition("#")
+    return instance, int(incarnation) if incarnation.isdigit() else 0
+
+
 class Runtime:
     """Owns the sockets, connections, membership and background tasks of one process.
 
--- a/src/jayvalve/internal/transport/server.py
+++ b/src/jayvalve/internal/transport/server.py
@@ -17,7 +17,7 @@
     write_reply,
 )
 from jayvalve.internal.transport.handlers import HandlerTable, PeerContext
-from jayvalve.internal.wire.messages import Hello
+from jayvalve.internal.wire.messages import Completed, Hello
 
 __all__ = ["PeerServer"]
 
@@ -115,15 +115,10 @@
             await write_reply(stream, request_id, failure_from_error(report), final=True)
 
     async def _answer_many(self, stream: IOStream, request_id: int, replies: Any) -> None:
-        # The last reply carries the final flag, so each reply is held until the next is known.
         async with contextlib.aclosing(replies):
-            previous = None
             async for reply in replies:
-                if previous is not None:
-                    await write_reply(stream, request_id, previous, final=False)
-                previous = reply
-                if getattr(type(reply), "kind", "") == "completed":
-                    break
-            if previous is None:
-                raise InternalError("the handler gave no reply")
-            await write_reply(stream, request_id, previous, final=True)
+                is_last = isinstance(reply, Completed)
+                await write_reply(stream, request_id, reply, final=is_last)
+                if is_last:
+                    return
+        raise InternalError("the handler ended without Completed")
