Count budgets in the checker over whole histories

The checker now recounts the whole history after every record, which is stricter than before for records that were not acknowledged.

--- a/tests/cover/test_programs_ownership.py
+++ b/tests/cover/test_programs_ownership.py
@@ -335,6 +335,23 @@
 
         self.run_body(body())
 
+    def test_settled_without_quorum_then_replicated(self):
+        """Guards against a checker that misses a settlement which a later record carries."""
+        self.start()
+
+        async def body():
+            owner = await self.create()
+            for index in range(5):
+                await self.checker.append(owner, PROGRAM, intent(f"r{index}", 60))
+            self.network.blocked = {("a", host) for host in HOSTS}
+            with ExpectedException(HistoryUnavailableError):
+                await self.checker.append(owner, PROGRAM, settle)
+            self.network.blocked = set()
+            await self.checker.append(owner, PROGRAM, intent("late", 50))
+            self.checker.check_history(PROGRAM, owner.store.records(PROGRAM.key))
+
+        self.run_body(body())
+
     def test_ended_program(self):
         """Guards against memory of ended programs and against their revival."""
         processes = self.start()
--- a/tests/cover/test_programs_stateful.py
+++ b/tests/cover/test_programs_stateful.py
@@ -143,7 +143,8 @@
             for program in PROGRAMS:
                 owned = process.table.get(program)
                 if owned and owned.program.count:
-                    self.checker.check_budget(owned.program)
+                    records = process.store.records(program.key)
+                    self.checker.check_budget(owned.program, records)
                     used = owned.program.agent(program.name).budget.used
                     assert used.tokens <= LIMITS[0], used
 
--- a/tests/fakes_network.py
+++ b/tests/fakes_network.py
@@ -231,23 +231,27 @@
             due = term is None or self._terms[identity.key, number] <= term
             if due and records[number : number + 1] != [record]:
                 raise Violation(f"acknowledged record {number} of {identity.key} is lost")
-        self.check_budget(program)
+        self.check_budget(program, records)
 
-    def check_budget(self, program):
-        """Check that a program has not spent more than its limit."""
+    def check_budget(self, program, records):
+        """Check that a history never spends more than the program's limit at any point.
+
+        It counts all records: an acknowledged record carries those before it, whether or not
+        each was acknowledged on its own.
+        """
         limits = program.agent(program.identity.name).budget.limits
         spent = Amount()
         open_intents = {}
-        for _, data in sorted(self.acknowledged.get(program.identity.key, {}).items()):
+        for data in records:
             record = decode_record(data)
             if record.kind == "intent":
                 open_intents[record.fields["attempt_id"]] = Amount(*record.fields["amount"])
             elif record.kind == "turn":
                 open_intents.pop(record.fields["attempt_id"], None)
                 spent = spent + Amount(*record.fields["used"])
-        spent = sum(open_intents.values(), spent)
-        if spent.tokens > limits[0]:
-            raise Violation(f"{program.identity.key} spent {spent} of {limits}")
+            total = sum(open_intents.values(), spent)
+            if total.tokens > limits[0]:
+                raise Violation(f"{program.identity.key} spent {total} of {limits}")
 
     async def append(self, process, identity, build):
         """Append the record that build(program) returns and note its acknowledgement."""
