Cancel abandoned work, and test the whole path in one process

Entries with the same key could abandon each other's attempts; the holder of a claim now gets 2 s to dispatch it. A caller that leaves ends the forwarded request and, after 2 s without a reader, the attempt at the engine.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 test: $(STAMP)
 	$(BIN)/ruff format --check src tests
 	$(BIN)/ruff check src tests
-	$(BIN)/python -m pytest -n 6 --junitxml=.test-report.xml
+	$(BIN)/python -m pytest -n 6 --dist loadgroup --junitxml=.test-report.xml
 
 format: $(STAMP)
 	$(BIN)/ruff format src tests
--- a/src/jayvalve/internal/entry/app.py
+++ b/src/jayvalve/internal/entry/app.py
@@ -77,6 +77,7 @@
         self._stack = contextlib.AsyncExitStack()
         self._clock = self._runtime.clock
         self._active_requests = 0
+        self._tokens = TokenTable(settings.callers)
         self._created_s = self._clock.now()
         self._settled = False
         self._log = LogClient(settings.log_url) if settings.log_url else None
@@ -99,6 +100,10 @@
         """Number of callers' requests in progress here."""
         return self._active_requests
 
+    def use_tokens(self, tokens: TokenTable) -> None:
+        """Replace the tokens of the callers."""
+        self._tokens.replace(tokens)
+
     def knows_all_endpoints(self) -> bool:
         """Return whether the inventory is in force and each of its endpoints is live."""
         views = self._directory.views()
@@ -274,7 +279,7 @@
             self._active_requests -= 1
 
     def _application(self) -> Application:
-        tokens = TokenTable(self._settings.callers)
+        tokens = self._tokens
         caller = {"tokens": tokens, "serve": self._serve}
         return Application(
             [
--- a/src/jayvalve/internal/entry/authentication.py
+++ b/src/jayvalve/internal/entry/authentication.py
@@ -30,6 +30,10 @@
     def __init__(self, callers: Iterable[CallerToken]) -> None:
         self._callers = list(callers)
 
+    def replace(self, other: "TokenTable") -> None:
+        """Take over the tokens of another table."""
+        self._callers = list(other._callers)
+
     def organisation(self, authorization: str | None) -> str:
         """Return the organisation of an Authorization header.
 
--- a/src/jayvalve/internal/entry/dispatch.py
+++ b/src/jayvalve/internal/entry/dispatch.py
@@ -1,6 +1,7 @@
 """Running of one attempt at a sidecar, over as many connections as it takes."""
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -64,12 +65,14 @@
             yield part
 
     async def recover(
-        self, sidecar: Member, attempt_id: str, deadline: Deadline
+        self, sidecar: Member, attempt_id: str, deadline: Deadline, patience_s: float = 0.0
     ) -> AsyncIterator[ResponseHead | Chunk | Completed]:
-        """Yield the answer of an attempt that an earlier owner dispatched.
+        """Yield the answer of an attempt that another process dispatched.
 
-        An attempt that never started is abandoned and raises an error with verdict not_run.
+        An attempt that has not started after patience_s is abandoned and raises an error with
+        verdict not_run.
         """
+        await self._wait_for_start(sidecar, attempt_id, min(patience_s, deadline.remaining_s))
         await self._require_started(sidecar, attempt_id, deadline)
         async for part in self._follow(sidecar, Resume(attempt_id, 0), attempt_id, deadline):
             yield part
@@ -102,6 +105,14 @@
                 await self._require_started(sidecar, attempt_id, deadline)
                 message = Resume(attempt_id, progress.next_chunk)
 
+    async def _wait_for_start(self, sidecar: Member, attempt_id: str, limit_s: float) -> None:
+        for _ in range(int(limit_s / INQUIRY_INTERVAL_S)):
+            with contextlib.suppress(PeerUnavailableError):
+                state = await self._inquire(sidecar, attempt_id, abandon=False)
+                if state.state != "unknown":
+                    return
+            await asyncio.sleep(INQUIRY_INTERVAL_S)
+
     async def _require_started(self, sidecar: Member, attempt_id: str, deadline: Deadline) -> None:
         """Return if the attempt has started and can be resumed."""
         while True:
@@ -123,8 +134,10 @@
                 )
             return
 
-    async def _inquire(self, sidecar: Member, attempt_id: str) -> AttemptState:
-        inquiry = Inquire(attempt_id, sidecar.incarnation, True)
+    async def _inquire(
+        self, sidecar: Member, attempt_id: str, abandon: bool = True
+    ) -> AttemptState:
+        inquiry = Inquire(attempt_id, sidecar.incarnation, abandon)
         return await self._pool.call(sidecar.address, inquiry, INQUIRY_TIMEOUT_S)
 
 
--- a/src/jayvalve/internal/entry/execution.py
+++ b/src/jayvalve/internal/entry/execution.py
@@ -35,6 +35,9 @@
 
 __all__ = ["CallExecution", "ExecutionTools"]
 
+# A caller whose connection broke may come back within this time with the same request id.
+ABANDON_GRACE_S = 2.0
+
 _log = logger.bind(part="calls")
 
 
@@ -93,6 +96,8 @@
         self._deadline = deadline
         self._excluded: set[str] = set()
         self._may_have_run = False
+        self._abandoned = False
+        self._current: tuple[Target, str] | None = None
         self._messages = self._all_messages()
         self._repeatable = self._is_repeatable()
 
@@ -104,6 +109,13 @@
     async def run(self) -> Answer:
         """Return the answer after its turn is safe; its parts have been sent to the stream."""
         self._tools.retries.budget.record_request(self._tools.clock.now())
+        watcher = asyncio.ensure_future(self._cancel_if_abandoned())
+        try:
+            return await self._run_attempts()
+        finally:
+            watcher.cancel()
+
+    async def _run_attempts(self) -> Answer:
         recovered = await self._recover_open_intent()
         if recovered is not None:
             return recovered
@@ -115,6 +127,18 @@
                 await self._retry_or_raise(error, attempt)
         raise AssertionError("unreachable")
 
+    async def _cancel_if_abandoned(self) -> None:
+        """Stop a repeatable call once nobody has waited for it during the grace time."""
+        while self._repeatable and not self._stream.ended:
+            await self._stream.abandoned()
+            await asyncio.sleep(ABANDON_GRACE_S)
+            if self._stream.readers == 0 and self._current is not None:
+                target, attempt_id = self._current
+                _log.info("nobody waits for attempt {}; cancelling it", attempt_id)
+                self._abandoned = True
+                await self._tools.dispatcher.cancel(target.sidecar, attempt_id)
+                return
+
     def _all_messages(self) -> list[Any]:
         if self._call.history_mode == "append":
             return [*self._journal.history(), *self._call.messages]
@@ -143,7 +167,7 @@
             now=self._tools.clock.now(),
         )
         self._may_have_run |= error.verdict is not Verdict.NOT_RUN
-        if not decision.retry or self._stream.started:
+        if not decision.retry or self._stream.started or self._abandoned:
             if self._may_have_run and error.verdict is Verdict.NOT_RUN:
                 # An earlier attempt of this request may have run.
                 error.verdict = Verdict.MAY_HAVE_RUN
@@ -230,6 +254,7 @@
                 grant = await self._claim(target, attempt_id)
                 if grant.answer is not None:
                     return await self._finish_known(attempt_id, grant)
+            self._current = target, attempt_id
             dispatch = self._dispatch(target, attempt_id, body, grant)
             parts = self._tools.dispatcher.run(target.sidecar, dispatch, self._deadline)
             return await self._consume(target, attempt_id, parts, amount, grant)
--- a/src/jayvalve/internal/entry/http.py
+++ b/src/jayvalve/internal/entry/http.py
@@ -1,5 +1,6 @@
 """HTTP front of an entry: request handlers shared by commands and queries."""
 
+import asyncio
 import contextlib
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -67,12 +68,12 @@
         """Receive what all requests share."""
         self._tokens = tokens
         self._serve = serve
-        self._answer: AsyncIterator[Any] | None = None
-        self._client_gone = False
+        self._relaying: asyncio.Task[None] | None = None
 
     def on_connection_close(self) -> None:
-        """Note that nobody waits for the answer any more."""
-        self._client_gone = True
+        """Stop reading the answer: nobody waits for it any more."""
+        if self._relaying is not None:
+            self._relaying.cancel()
 
     async def relay(self) -> None:
         """Serve the request through the owner of its program and stream the answer."""
@@ -90,6 +91,11 @@
             organisation,
             0,
         )
+        self._relaying = asyncio.ensure_future(self._stream_answer(forward))
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._relaying
+
+    async def _stream_answer(self, forward: Forward) -> None:
         async with contextlib.aclosing(self._serve(forward)) as answer:
             await self._write_answer(answer)
 
--- a/src/jayvalve/internal/entry/key_claims.py
+++ b/src/jayvalve/internal/entry/key_claims.py
@@ -29,6 +29,9 @@
 
 RELAY_TIMEOUT_S = 10.0
 RETRY_INTERVAL_S = 0.2
+# Time granted to the holder of a claim to dispatch it. Abandoning its attempt at once made
+# entries with the same key abandon each other's attempts in turn, without end.
+HOLDER_PATIENCE_S = 2.0
 # An outcome that the log did not take is also in the program's history and at the sidecar.
 REPORT_LIMIT_S = 600.0
 
@@ -188,7 +191,7 @@
                 "can settle it"
             )
         try:
-            parts = self._dispatcher.recover(sidecar, held.attempt_id, deadline)
+            parts = self._dispatcher.recover(sidecar, held.attempt_id, deadline, HOLDER_PATIENCE_S)
             answer = await _collect(parts)
         except JayvalveError as error:
             if error.verdict is not Verdict.NOT_RUN:
--- a/src/jayvalve/internal/transport/connection.py
+++ b/src/jayvalve/internal/transport/connection.py
@@ -18,7 +18,7 @@
 from jayvalve.internal.timing import Clock
 from jayvalve.internal.transport.framing import read_envelope, write_message
 from jayvalve.internal.wire import MAX_FRAME_BYTES, Envelope
-from jayvalve.internal.wire.messages import Failure, Heartbeat, Hello
+from jayvalve.internal.wire.messages import Abandon, Failure, Heartbeat, Hello
 from jayvalve.verdict import Verdict
 
 __all__ = ["PeerConnection"]
@@ -97,6 +97,7 @@
         if not self._waiting:
             self._last_received_s = self._clock.now()
         self._waiting[request_id] = replies
+        finished = False
         try:
             async with asyncio.timeout(timeout_s) as timer:
                 await self._send(request_id, message)
@@ -104,9 +105,10 @@
                     envelope = await replies.get()
                     if isinstance(envelope, JayvalveError):
                         raise envelope
+                    finished = envelope.is_final
                     self._raise_failure(envelope.message)
                     yield envelope.message
-                    if envelope.is_final:
+                    if finished:
                         return
         except TimeoutError as error:
             if not timer.expired():
@@ -117,6 +119,8 @@
             ) from error
         finally:
             self._waiting.pop(request_id, None)
+            if not finished and not self.closed:
+                asyncio.ensure_future(self._send_abandon(request_id))
 
     async def close(self) -> None:
         """Close the connection; waiting requests fail."""
@@ -175,6 +179,12 @@
         except StreamClosedError:
             return
 
+    async def _send_abandon(self, request_id: int) -> None:
+        try:
+            await write_message(self._stream, request_id, Abandon())
+        except StreamClosedError:
+            return
+
     def _fail_all(self, reason: str) -> None:
         error_text = f"connection to {self._peer.instance} failed: {reason}"
         for replies in self._waiting.values():
--- a/src/jayvalve/internal/transport/server.py
+++ b/src/jayvalve/internal/transport/server.py
@@ -17,13 +17,18 @@
     write_reply,
 )
 from jayvalve.internal.transport.handlers import HandlerTable, PeerContext
-from jayvalve.internal.wire.messages import Completed, Hello
+from jayvalve.internal.wire.messages import Abandon, Completed, Hello
 
 __all__ = ["PeerServer"]
 
 HELLO_TIMEOUT_S = 5.0
 
 
+def _forget(tasks: dict[int, asyncio.Task[None]], key: int, done: asyncio.Task[None]) -> None:
+    if tasks.get(key) is done:
+        del tasks[key]
+
+
 class PeerServer(TCPServer):
     """Accepts connections of other processes and answers their messages.
 
@@ -58,7 +63,7 @@
         """Serve one connection until it ends."""
         stream.set_nodelay(True)
         self._streams.add(stream)
-        tasks: set[asyncio.Task[None]] = set()
+        tasks: dict[int, asyncio.Task[None]] = {}
         try:
             context = await self._exchange_hello(stream)
             await self._read_requests(stream, context, tasks)
@@ -70,7 +75,7 @@
         finally:
             self._streams.discard(stream)
             stream.close()
-            for task in tasks:
+            for task in list(tasks.values()):
                 task.cancel()
 
     async def _report_invalid_frame(self, stream: IOStream, error: Exception) -> None:
@@ -88,15 +93,21 @@
         return PeerContext(envelope.message)
 
     async def _read_requests(
-        self, stream: IOStream, context: PeerContext, tasks: set[asyncio.Task[None]]
+        self, stream: IOStream, context: PeerContext, tasks: dict[int, asyncio.Task[None]]
     ) -> None:
         while True:
             envelope = await read_envelope(stream)
+            request_id = envelope.request_id
+            if isinstance(envelope.message, Abandon):
+                if request_id in tasks:
+                    tasks[request_id].cancel()
+                continue
             task = asyncio.ensure_future(
-                self._answer(stream, envelope.request_id, context, envelope.message)
+                self._answer(stream, request_id, context, envelope.message)
             )
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
+            # Keepalives share request id 0; their tasks end at once.
+            tasks[request_id] = task
+            task.add_done_callback(lambda done, key=request_id: _forget(tasks, key, done))
 
     async def _answer(
         self, stream: IOStream, request_id: int, context: PeerContext, message: Any
--- a/src/jayvalve/internal/wire/messages.py
+++ b/src/jayvalve/internal/wire/messages.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "MESSAGE_KINDS",
+    "Abandon",
     "Accepted",
     "AttemptState",
     "Cancel",
@@ -217,6 +218,11 @@
     load: dict = _map()
 
 
+@message("abandon")
+class Abandon:
+    """Ends the request with the same request id, whose replies nobody reads any more."""
+
+
 @message("accepted")
 class Accepted:
     """Confirms a request that has no other answer."""
--- /dev/null
+++ b/tests/cover/test_local.py
@@ -0,0 +1,247 @@
+"""Checks of the whole path in one process, as callers see it."""
+
+import asyncio
+import json
+import time
+
+import openai
+from tornado.httpclient import AsyncHTTPClient
+
+from jayvalve.deployments import DEPLOYMENTS, InProcessDeployment
+from tests.support import AsyncTestCase
+
+CHAT = "/v1/chat/completions"
+BOOKINGS = "/v1/services/deliveries/bookings"
+
+
+def chat_body(text: str, **extra) -> dict:
+    message = {"role": "user", "content": text}
+    return {"model": "tank-chemistry", "messages": [message], "max_tokens": 12, **extra}
+
+
+class LocalTest(AsyncTestCase):
+    """Runs requests against ``jayvalve local``."""
+
+    def with_deployment(self, scenario, name: str = "acquaviva"):
+        async def run():
+            deployment = InProcessDeployment(DEPLOYMENTS.get(name))
+            try:
+                await deployment.start()
+                return await scenario(deployment)
+            finally:
+                await deployment.stop()
+
+        return self.run_async(run(), 60.0)
+
+    @staticmethod
+    async def send(deployment, path, body=None, headers=None, entry=0):
+        return await AsyncHTTPClient().fetch(
+            deployment.urls[entry] + path,
+            method="GET" if body is None else "POST",
+            body=None if body is None else json.dumps(body),
+            headers=headers or {},
+            raise_error=False,
+        )
+
+    def test_openai_client_streams_and_lists_models(self):
+        """Guards the protocol that an unmodified openai client expects."""
+
+        async def scenario(deployment):
+            client = openai.AsyncOpenAI(
+                base_url=f"{deployment.urls[0]}/v1", api_key="none", max_retries=0
+            )
+            models = [model.id async for model in client.models.list()]
+            whole = await client.chat.completions.create(**chat_body("pH is 7.1"))
+            stream = await client.chat.completions.create(
+                **chat_body("pH is 7.1", stream=True, stream_options={"include_usage": True})
+            )
+            parts, usage = [], None
+            async for event in stream:
+                parts += [choice.delta.content or "" for choice in event.choices]
+                usage = event.usage or usage
+            await client.close()
+            return models, whole.choices[0].message.content, "".join(parts), usage
+
+        models, whole, streamed, usage = self.with_deployment(scenario)
+        self.assertIn("tank-chemistry", models)
+        self.assertEqual(12, len(whole.split()))
+        self.assertEqual(whole, streamed)
+        self.assertEqual(12, usage.completion_tokens)
+
+    def test_openai_client_reads_errors(self):
+        async def scenario(deployment):
+            client = openai.AsyncOpenAI(
+                base_url=f"{deployment.urls[0]}/v1", api_key="none", max_retries=0
+            )
+            try:
+                await client.chat.completions.create(model="none", messages=[{"role": "user"}])
+            except openai.NotFoundError as error:
+                return error.body["code"], error.body["verdict"]
+            finally:
+                await client.close()
+
+        self.assertEqual(("model_unknown", "not_run"), self.with_deployment(scenario))
+
+    def test_turns_through_different_entries_share_one_history(self):
+        async def scenario(deployment):
+            headers = {"Jayvalve-Program": "tank-4", "Jayvalve-History": "append"}
+            for turn in (1, 2, 3):
+                sent = {**headers, "Jayvalve-Turn": str(turn)}
+                response = await self.send(
+                    deployment, CHAT, chat_body(f"question {turn}"), sent, turn % 3
+                )
+                self.assertEqual(200, response.code, response.body)
+            history = await self.send(deployment, "/v1/programs/tank-4/history", entry=1)
+            return json.loads(history.body)["messages"]
+
+        messages = self.with_deployment(scenario)
+        self.assertEqual(6, len(messages))
+        self.assertEqual("question 2", messages[2]["content"])
+
+    def test_crossed_turns_run_in_order(self):
+        """Guards P1: a later turn that arrives first waits for its predecessor."""
+
+        async def scenario(deployment):
+            headers = {"Jayvalve-Program": "crossed", "Jayvalve-History": "append"}
+
+            async def turn(number, delay):
+                await asyncio.sleep(delay)
+                sent = {**headers, "Jayvalve-Turn": str(number)}
+                return await self.send(deployment, CHAT, chat_body(f"q{number}"), sent, number % 3)
+
+            await turn(1, 0)
+            answers = await asyncio.gather(turn(4, 0), turn(3, 0.1), turn(2, 0.2))
+            self.assertEqual([200] * 3, [answer.code for answer in answers])
+            history = await self.send(deployment, "/v1/programs/crossed/history")
+            return [m["content"] for m in json.loads(history.body)["messages"][::2]]
+
+        self.assertEqual(["q1", "q2", "q3", "q4"], self.with_deployment(scenario))
+
+    def test_repeated_request_joins_or_replays(self):
+        """Guards against a second run of a request that a caller repeats."""
+
+        async def scenario(deployment):
+            headers = {"Jayvalve-Program": "repeat", "Jayvalve-Request": "r1", "Jayvalve-Turn": "1"}
+            first = await asyncio.gather(
+                *(self.send(deployment, CHAT, chat_body("once"), headers, n) for n in range(3))
+            )
+            again = await self.send(deployment, CHAT, chat_body("once"), headers, 1)
+            state = await self.send(deployment, "/v1/programs/repeat")
+            bodies = {response.body for response in (*first, again)}
+            return bodies, json.loads(state.body)["agents"]["repeat"]["budget"]["used"]["calls"]
+
+        bodies, calls = self.with_deployment(scenario)
+        self.assertEqual(1, len(bodies))
+        self.assertEqual(1, calls)
+
+    def test_change_runs_once_through_all_entries(self):
+        """Guards P7 when the same key arrives at every entry at the same time."""
+
+        async def scenario(deployment):
+            headers = {"Idempotency-Key": "booking-1"}
+            answers = await asyncio.gather(
+                *(self.send(deployment, BOOKINGS, {"tank": 3}, headers, n) for n in range(3))
+            )
+            other = await self.send(deployment, BOOKINGS, {"tank": 4}, headers)
+            missing = await self.send(deployment, BOOKINGS, {"tank": 4})
+            runs = sum(
+                len(standin.runs)
+                for standin in deployment.standins.values()
+                if hasattr(standin, "runs")
+            )
+            key = await self.send(deployment, "/v1/keys/booking-1")
+            return answers, other, missing, runs, json.loads(key.body)
+
+        answers, other, missing, runs, key = self.with_deployment(scenario)
+        self.assertEqual({201}, {answer.code for answer in answers})
+        self.assertEqual(1, len({answer.body for answer in answers}))
+        self.assertEqual("key_reused", json.loads(other.body)["error"]["code"])
+        self.assertEqual("key_required", json.loads(missing.body)["error"]["code"])
+        self.assertEqual(1, runs)
+        self.assertEqual(("done", "ran"), (key["state"], key["verdict"]))
+
+    def test_sub_agents_draw_on_the_budget_of_their_parent(self):
+        """Guards P3 with concurrent sub-agents."""
+
+        async def scenario(deployment):
+            start = {"Jayvalve-Program": "family", "Jayvalve-Budget": "calls=4"}
+            await self.send(deployment, "/v1/programs", {}, start)
+            answers = await asyncio.gather(
+                *(
+                    self.send(
+                        deployment, CHAT, chat_body("help"), {"Jayvalve-Program": f"family.s{n}"}, n
+                    )
+                    for n in range(3)
+                    for _ in range(3)
+                )
+            )
+            return sorted(answer.code for answer in answers)
+
+        self.assertEqual([200] * 4 + [402] * 5, self.with_deployment(scenario))
+
+    def test_program_of_another_organisation_is_not_found(self):
+        """Guards P2: programs of the same name in two organisations stay apart."""
+
+        async def scenario(deployment):
+            from jayvalve.internal.entry.authentication import TokenTable, hash_token
+
+            table = TokenTable([hash_token("a", "token-a"), hash_token("b", "token-b")])
+            for entry in deployment.entries:
+                entry.use_tokens(table)
+            headers = {"Jayvalve-Program": "same", "Authorization": "Bearer token-a"}
+            await self.send(deployment, CHAT, chat_body("secret"), headers)
+            path = "/v1/programs/same/history"
+            own = await self.send(deployment, path, headers={"Authorization": "Bearer token-a"})
+            other = await self.send(deployment, path, headers={"Authorization": "Bearer token-b"})
+            nobody = await self.send(deployment, path)
+            return own.code, other.code, nobody.code
+
+        self.assertEqual((200, 404, 401), self.with_deployment(scenario))
+
+    def test_work_that_nobody_waits_for_is_cancelled(self):
+        """Guards against engines that generate for callers who have left."""
+
+        async def scenario(deployment):
+            body = json.dumps(chat_body("long", stream=True) | {"max_tokens": 4000}).encode()
+            host, port = deployment.urls[0].removeprefix("http://").split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            head = f"POST {CHAT} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+            writer.write(head.encode() + body)
+            await reader.readuntil(b"data: ")
+            writer.close()
+            started = time.monotonic()
+            engines = [s for s in deployment.standins.values() if hasattr(s, "engine")]
+            while any(standin.engine.running for standin in engines):
+                await asyncio.sleep(0.05)
+                self.assertLess(time.monotonic() - started, 8.0)
+            return time.monotonic() - started
+
+        self.assertLess(self.with_deployment(scenario), 8.0)
+
+    def test_bad_requests_get_coded_errors(self):
+        async def scenario(deployment):
+            cases = [
+                (CHAT, chat_body("x"), {"Jayvalve-Turn": "-1"}, "invalid_header"),
+                (CHAT, chat_body("x"), {"Jayvalve-Rank": "first"}, "invalid_header"),
+                (CHAT, chat_body("x"), {"Jayvalve-Budget": "tokens=nan"}, "invalid_header"),
+                (CHAT, chat_body("x"), {"Jayvalve-Program": "a/b"}, "invalid_header"),
+                (CHAT, {"model": 1}, {}, "invalid_request"),
+                (CHAT, [], {}, "invalid_request"),
+                (
+                    CHAT,
+                    chat_body("x"),
+                    {"Jayvalve-Program": "p", "Jayvalve-Turn": "7"},
+                    "program_unknown",
+                ),
+                ("/v1/services/none/x", {}, {}, "service_unknown"),
+            ]
+            found = []
+            for path, body, headers, expected in cases:
+                response = await self.send(deployment, path, body, headers)
+                document = json.loads(response.body)["error"]
+                found.append((document["code"], expected, document["verdict"]))
+            return found
+
+        for code, expected, verdict in self.with_deployment(scenario):
+            self.assertEqual(expected, code)
+            self.assertEqual("not_run", verdict)
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,6 +1,7 @@
 """Helpers shared by the tests."""
 
 import asyncio
+import time
 from collections.abc import Coroutine
 from typing import Any
 
@@ -13,9 +14,18 @@
     """Runs coroutines on a fresh event loop with a time limit."""
 
     def run_async(self, coroutine: Coroutine[Any, Any, Any], timeout_s: float = 20.0) -> Any:
-        """Return the coroutine's result; TimeoutError after timeout_s."""
+        """Return the coroutine's result; TimeoutError after timeout_s.
 
-        async def limited() -> Any:
-            return await asyncio.wait_for(coroutine, timeout_s)
+        A coroutine that swallows the cancellation at the limit fails as well.
+        """
 
-        return asyncio.run(limited())
+        async def limited() -> Any:
+            async with asyncio.timeout(timeout_s):
+                return await coroutine
+
+        started = time.monotonic()
+        result = asyncio.run(limited())
+        elapsed_s = time.monotonic() - started
+        if elapsed_s > timeout_s:
+            raise TimeoutError(f"took {elapsed_s:.1f} s, at most {timeout_s} s are allowed")
+        return result
