Charge streamed calls their reported usage

Cause: engines report no usage on streams unless asked, so each streamed call was charged its whole reservation. The entry now asks for the usage and hides the extra event from callers that did not.

--- a/src/jayvalve/internal/entry/answers.py
+++ b/src/jayvalve/internal/entry/answers.py
@@ -6,10 +6,11 @@
 
 import attrs
 
-__all__ = ["AnswerSummary", "EventSplitter", "summarize"]
+__all__ = ["AnswerSummary", "EventSplitter", "summarize", "without_usage_event"]
 
 EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]"
+NO_CHOICES = (b'"choices": []', b'"choices":[]')
 
 
 class EventSplitter:
@@ -48,6 +49,19 @@
         return ready[:start]
 
 
+def without_usage_event(data: bytes) -> bytes:
+    """Return whole events without the one that only states the usage.
+
+    Clients that did not ask for it may expect a choice in every event.
+    """
+    if not any(mark in data for mark in NO_CHOICES):
+        return data
+    events = data.split(EVENT_END)
+    return EVENT_END.join(
+        event for event in events if not any(mark in event for mark in NO_CHOICES)
+    )
+
+
 @attrs.frozen
 class AnswerSummary:
     """What a program keeps of a model's answer.
--- a/src/jayvalve/internal/entry/execution.py
+++ b/src/jayvalve/internal/entry/execution.py
@@ -16,7 +16,7 @@
     KeyRequiredError,
     MayHaveRunError,
 )
-from jayvalve.internal.entry.answers import EventSplitter, summarize
+from jayvalve.internal.entry.answers import EventSplitter, summarize, without_usage_event
 from jayvalve.internal.entry.call_stream import CallStream
 from jayvalve.internal.entry.dispatch import AttemptDispatcher
 from jayvalve.internal.entry.endpoints import EndpointDirectory, Target
@@ -97,6 +97,7 @@
         self._excluded: set[str] = set()
         self._may_have_run = False
         self._abandoned = False
+        self._hides_usage = False
         self._current: tuple[Target, str] | None = None
         self._messages = self._all_messages()
         self._repeatable = self._is_repeatable()
@@ -240,10 +241,19 @@
                 )
             if not stated:
                 document["max_tokens"] = min(call.max_tokens, room)
+        if call.stream:
+            self._request_usage(document)
         limit = document.get("max_completion_tokens") or document.get("max_tokens")
         tokens = prompt_bound + (limit or call.max_tokens)
         return json.dumps(document, ensure_ascii=False).encode(), Amount(tokens, 1)
 
+    def _request_usage(self, document: dict[str, Any]) -> None:
+        """Ask the engine for the usage, which the budget needs, and hide it from others."""
+        options = document.get("stream_options")
+        options = dict(options) if isinstance(options, dict) else {}
+        self._hides_usage = options.get("include_usage") is not True
+        document["stream_options"] = {**options, "include_usage": True}
+
     async def _attempt_at(
         self, target: Target, attempt_id: str, body: bytes, amount: Amount
     ) -> Answer:
@@ -324,18 +334,22 @@
                     sent += self._send_events(splitter, part.data, sent)
             elif target is not None:
                 self._tools.directory.observe_load(target.view.name, part.load)
-        answer = Answer(head.status, head.headers, b"".join(body))
-        await self._end_turn(attempt_id, answer, amount, grant)
+        raw = b"".join(body)
+        answer = Answer(head.status, head.headers, self._visible(raw))
+        await self._end_turn(attempt_id, answer, amount, grant, raw)
         self._send_rest(answer, splitter, sent)
         return answer
 
     def _send_events(self, splitter: EventSplitter, data: bytes, sent: int) -> int:
-        ready = splitter.feed(data)
+        ready = self._visible(splitter.feed(data))
         if not ready:
             return 0
         self._stream.send(Chunk(sent, ready))
         return 1
 
+    def _visible(self, events: bytes) -> bytes:
+        return without_usage_event(events) if self._hides_usage else events
+
     def _send_rest(self, answer: Answer, splitter: EventSplitter, sent: int) -> None:
         rest = answer.body
         if self._stream.started:
@@ -359,11 +373,16 @@
         return ResponseHead(part.status, headers)
 
     async def _end_turn(
-        self, attempt_id: str, answer: Answer, amount: Amount, grant: ClaimGrant | None
+        self,
+        attempt_id: str,
+        answer: Answer,
+        amount: Amount,
+        grant: ClaimGrant | None,
+        raw: bytes,
     ) -> None:
         used, messages = Amount(calls=1), None
         if self._call.model is not None and answer.status == 200:
-            summary = summarize(answer.body, self._call.stream)
+            summary = summarize(raw, self._call.stream)
             # An engine that reports no usage is charged the whole reservation.
             used = Amount(summary.total_tokens or amount.tokens, 1)
             if summary.message is not None:
--- a/tests/cover/test_local.py
+++ b/tests/cover/test_local.py
@@ -245,3 +245,18 @@
         for code, expected, verdict in self.with_deployment(scenario):
             self.assertEqual(expected, code)
             self.assertEqual("not_run", verdict)
+
+    def test_streams_charge_their_usage_and_hide_it_from_callers(self):
+        """Guards P3 against charging whole reservations, and clients against odd events."""
+
+        async def scenario(deployment):
+            headers = {"Jayvalve-Program": "stream"}
+            response = await self.send(deployment, CHAT, chat_body("x", stream=True), headers)
+            state = await self.send(deployment, "/v1/programs/stream")
+            used = json.loads(state.body)["agents"]["stream"]["budget"]["used"]
+            return response.body, used["tokens"]
+
+        body, tokens = self.with_deployment(scenario)
+        self.assertNotIn(b'"choices": []', body)
+        self.assertIn(b"data: [DONE]", body)
+        self.assertTrue(12 < tokens < 30, tokens)
