Carry placement orders from the decision to the engines

Each entry follows the stream placement, decides for the models it comes first for, and delivers accepted orders; the sidecar runs an order once and a repetition waits for it. A test floods a model that one engine holds: before, no order was made; now a second engine loads it.

--- a/src/jayvalve/deployments/in_process.py
+++ b/src/jayvalve/deployments/in_process.py
@@ -81,6 +81,14 @@
         """Stand-ins by endpoint name, and the log under ``log``."""
         return self._standins
 
+    def document(self) -> dict[str, Any]:
+        """Return the configuration document with all endpoints."""
+        addresses = {
+            sidecar.settings.require_endpoint().name: sidecar.runtime.identity.address
+            for sidecar in self._sidecars
+        }
+        return inventory_document(self._deployment, addresses)
+
     async def start(self) -> str:
         """Start everything and return once the configuration is in force everywhere."""
         self._log_url = await self._start_standin("log", "log", {})
@@ -91,13 +99,7 @@
         for process in (*self._sidecars, *self._entries):
             await process.start()
             self._stack.push_async_callback(process.stop)
-        addresses = {
-            sidecar.settings.require_endpoint().name: sidecar.runtime.identity.address
-            for sidecar in self._sidecars
-        }
-        await publish_document(
-            self._log_url, inventory_document(self._deployment, addresses), 0, "local"
-        )
+        await publish_document(self._log_url, self.document(), 0, "local")
         await self._wait_ready()
         return f"jayvalve local ({self._deployment.name}) ready on {self.urls[0]}"
 
--- a/src/jayvalve/internal/configuration/rules.py
+++ b/src/jayvalve/internal/configuration/rules.py
@@ -40,10 +40,14 @@
 
 @attrs.frozen
 class PlacementRule:
-    """Thresholds and rates of placement orders."""
+    """Thresholds and rates of placement orders.
+
+    By default nothing is unloaded: an idle fleet would otherwise shrink each model to one
+    endpoint and have no spare when that one fails.
+    """
 
     scale_up_load: float = 0.8
-    scale_down_load: float = 0.3
+    scale_down_load: float = 0.0
     hold_s: float = 120.0
     loads_per_interval: int = 4
     load_interval_s: float = 60.0
--- a/src/jayvalve/internal/configuration/validation.py
+++ b/src/jayvalve/internal/configuration/validation.py
@@ -136,7 +136,7 @@
 def _rules_faults(rules: dict[str, Any]) -> list[str]:
     placement = rules.get("placement", {})
     up = placement.get("scale_up_load", 0.8)
-    down = placement.get("scale_down_load", 0.3)
+    down = placement.get("scale_down_load", 0.0)
     if down >= up:
         return [f"$.rules.placement: scale_down_load {down} must be below scale_up_load {up}"]
     return []
--- a/src/jayvalve/internal/entry/app.py
+++ b/src/jayvalve/internal/entry/app.py
@@ -41,6 +41,7 @@
 from jayvalve.internal.limits import OutlierDetector, RetryBudget, RetryPolicy
 from jayvalve.internal.log import LogClient
 from jayvalve.internal.membership import HeartbeatSource, MemberChange
+from jayvalve.internal.placement import PlacementRunner
 from jayvalve.internal.programs import CopyStore, OwnershipTable, ProgramId
 from jayvalve.internal.programs.handlers import register_copies
 from jayvalve.internal.runtime import Runtime, holder_name, split_holder_name
@@ -215,6 +216,18 @@
         await runtime.open(self._application(), source, self._on_heartbeat)
         self._stack.push_async_callback(runtime.close)
         if self._log is not None:
+            placement = PlacementRunner(
+                self._settings.instance,
+                self._log,
+                self._configuration,
+                self._directory,
+                lambda: sorted(self._entries()),
+                runtime.pool,
+                runtime.spawn,
+                self._clock,
+                self._settings.retention_seconds,
+            )
+            runtime.spawn(placement.run())
             runtime.spawn(self._configuration.run())
             runtime.spawn(self._renewal.run())
             runtime.spawn(self._join())
--- a/src/jayvalve/internal/entry/endpoints.py
+++ b/src/jayvalve/internal/entry/endpoints.py
@@ -90,6 +90,36 @@
         self._endpoints = inventory
         self._outliers.set_endpoints(inventory)
 
+    def demand(self) -> dict[str, float]:
+        """Return the demand for each model in units of one fully used endpoint.
+
+        An endpoint's load counts in equal parts for the models that it holds, since load
+        reports do not tell models apart.
+        """
+        demand: dict[str, float] = dict.fromkeys(self.models(), 0.0)
+        for view in self._views.values():
+            held = {item.model for item in view.capabilities if item.model}
+            for model in held:
+                demand[model] = demand.get(model, 0.0) + view.load.occupancy / len(held)
+        return demand
+
+    def live_endpoints(self) -> list[str]:
+        """Return the names of the endpoints that may receive work."""
+        return [view.name for view in self.views() if view.state is EndpointState.LIVE]
+
+    def live_sidecar(self, endpoint: str) -> Member | None:
+        """Return the sidecar of an endpoint, or None if it is gone."""
+        sidecar = self._sidecar(endpoint) if endpoint in self._endpoints else None
+        return sidecar if sidecar is not None and not sidecar.state.is_gone else None
+
+    def set_model(self, endpoint: str, model: str, loaded: bool) -> None:
+        """Take note that an endpoint holds a model, or is about to drop it."""
+        view = self._views.get(endpoint)
+        if view is None:
+            return
+        others = tuple(item for item in view.capabilities if item.model != model)
+        view.capabilities = (*others, Capability(model=model)) if loaded else others
+
     def service(self, name: str) -> Endpoint:
         """Return any endpoint that provides the service, or raise ServiceUnknownError."""
         for item in self.endpoints:
--- a/src/jayvalve/internal/placement/__init__.py
+++ b/src/jayvalve/internal/placement/__init__.py
@@ -17,8 +17,11 @@
     inventory_record,
     parse_record,
 )
+from jayvalve.internal.placement.runner import FleetView, PlacementRunner
 
 __all__ = [
+    "FleetView",
+    "PlacementRunner",
     "ACTIONS",
     "MIN_ORDER_INTERVAL_S",
     "STREAM",
--- a/src/jayvalve/internal/sidecar/execution.py
+++ b/src/jayvalve/internal/sidecar/execution.py
@@ -1,5 +1,6 @@
 """Execution of attempts at the endpoint beside this sidecar."""
 
+import asyncio
 import contextlib
 import json
 from collections.abc import AsyncIterator, Callable
@@ -36,6 +37,8 @@
 
 BYTES_PER_TOKEN = 4
 DEFAULT_OUTPUT_TOKENS = 256
+# Entries stop sending calls for a model within this time after its unload was ordered.
+UNLOAD_DELAY_S = 3.0
 
 _log = logger.bind(part="sidecar")
 
@@ -62,6 +65,7 @@
         self._is_draining = is_draining
         self._terms = TermTable()
         self._orders = OrderFence()
+        self._order: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     def register(self, handlers: HandlerTable) -> None:
         """Answer the messages of owners and deciders."""
@@ -115,9 +119,16 @@
     async def order(self, context: PeerContext, message: Order) -> Accepted:
         """Pass an order on to the endpoint if its fencing number is the highest."""
         if self._orders.check(message.fencing):
-            await self._adapter.order(message.action, message.model, message.fencing)
+            self._order = asyncio.ensure_future(self._run_order(message))
+        # A repetition waits for the order that it repeats.
+        await asyncio.shield(self._order)
         return Accepted()
 
+    async def _run_order(self, message: Order) -> None:
+        if message.action == "unload":
+            await asyncio.sleep(UNLOAD_DELAY_S)
+        await self._adapter.order(message.action, message.model, message.fencing)
+
     async def release(self, context: PeerContext, message: ReleaseProgram) -> Accepted:
         """Free the endpoint's memory of a program that has ended."""
         self._terms.check(message.program, message.epoch, message.handover)
