Add the measurement tool with engine models in virtual time

Experiments run the decision classes against small engine models and print each bound beside its measured value.

--- /dev/null
+++ b/src/jayvalve/internal/measure/endpoint.py
@@ -0,0 +1,179 @@
+"""An endpoint with its sidecar's decisions, in virtual time."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from jayvalve.internal.measure.candidates import Candidate
+from jayvalve.internal.measure.engine_model import ContinuousBatch, EngineSettings, PrefixCache
+from jayvalve.internal.pauses import MemoryCosts, PauseDecision, PausePolicy
+from jayvalve.internal.routing import CacheEvent, CacheEventKind
+from jayvalve.internal.scheduling import (
+    AdmissionControl,
+    AdmissionSettings,
+    QueuedCall,
+    QueueSettings,
+    Rank,
+    ServiceRate,
+    queue_policies,
+)
+
+__all__ = ["PROMPT_WEIGHT", "Attempt", "Endpoint", "served_tokens"]
+
+# Computing a prompt token takes about 1/20 of the batch's time for a generated one:
+# (8 slots x 40 tokens/s) / 6,000 tokens/s.
+PROMPT_WEIGHT = 1.0 / 20.0
+
+
+def served_tokens(computed_tokens: int, output_tokens: int) -> float:
+    """Return the service of a call in generated tokens."""
+    return output_tokens + PROMPT_WEIGHT * computed_tokens
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """One dispatch of a call to an endpoint."""
+
+    call: Any
+    queued: QueuedCall | None = None
+    started_s: float = 0.0
+    computed_tokens: int = 0
+
+
+class Endpoint:
+    """Queue, admission, batch and cache of one endpoint.
+
+    Args:
+        name: Its name.
+        data_centre: Where it runs.
+        candidate: The decisions it makes.
+        settings: Size of the engine.
+        schedule: Called with a time, a function and its arguments.
+        on_end: Called with an attempt and its outcome: ``done``, ``failed`` or ``expired``.
+        next_use: Returns an agent's next use, for the oracle.
+
+    """
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        candidate: Candidate,
+        settings: EngineSettings,
+        schedule: Callable[..., None],
+        on_end: Callable[[Attempt, str, float], None],
+        next_use: Callable[[str], float] | None,
+    ) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.alive = True
+        self.failure_share = 0.0
+        self._candidate = candidate
+        self._schedule = schedule
+        self._on_end = on_end
+        cache = PrefixCache(settings.cache_tokens, next_use, self._cache_changed)
+        self.engine = ContinuousBatch(settings, cache)
+        queue_settings = QueueSettings(max_waiting=candidate.max_waiting)
+        self.queue = queue_policies.get(candidate.queue)(queue_settings)
+        rate = settings.decode_tokens_per_s
+        self._rate = ServiceRate(settings.slots, rate)
+        admission = AdmissionSettings(max_waiting=candidate.max_waiting)
+        self._admission = AdmissionControl(self.queue, self._rate, admission)
+        self._running: set[Attempt] = set()
+        self._sequence = 0
+        self._events: list[CacheEvent] = []
+        self._now = 0.0
+        self._rng = random.Random(name)
+
+    def arrive(self, attempt: Attempt, now: float) -> None:
+        """Queue an attempt, or raise the error with which it is refused."""
+        self._now = now
+        if self._candidate.admission:
+            self._admission.check(attempt.queued, now)
+        self.queue.offer(attempt.queued, now)
+        self._fill(now)
+
+    def _fill(self, now: float) -> None:
+        while self.engine.running < self.engine.settings.slots:
+            queued = self.queue.take(now)
+            if queued is None:
+                break
+            self._start(queued.payload, now)
+        for expired in self.queue.expire(now):
+            self._on_end(expired.payload, "expired", now)
+
+    def _start(self, attempt: Attempt, now: float) -> None:
+        call = attempt.call
+        started = self.engine.start(
+            call.agent, call.prefix_tokens, call.new_tokens, call.output_tokens, now
+        )
+        attempt.started_s, attempt.computed_tokens = now, started.computed_tokens
+        self._running.add(attempt)
+        self._schedule(started.finish_s, self._finish, attempt)
+
+    def _finish(self, attempt: Attempt, now: float) -> None:
+        if attempt not in self._running:
+            return
+        self._now = now
+        self._running.discard(attempt)
+        call = attempt.call
+        self.engine.finish(call.agent)
+        tokens = served_tokens(attempt.computed_tokens, call.output_tokens)
+        self.queue.settle(attempt.queued, tokens)
+        self._rate.observe(tokens, now - attempt.started_s)
+        failed = self.failure_share > 0.0 and self._rng.random() < self.failure_share
+        self._on_end(attempt, "failed" if failed else "done", now)
+        self._fill(now)
+
+    def pause(self, agent: str, tool: str, policy: PausePolicy) -> None:
+        """Decide what happens to an agent's KV cache during a tool pause."""
+        settings, cache = self.engine.settings, self.engine.cache
+        costs = MemoryCosts(
+            rebuild_tokens_per_s=settings.prefill_tokens_per_s,
+            transfer_tokens_per_s=settings.transfer_tokens_per_s,
+            memory_tokens=settings.cache_tokens,
+            free_tokens=cache.free_tokens,
+            export_free_tokens=self.engine.export_free_tokens,
+        )
+        decision = policy.decide(tool, cache.tokens(agent), costs)
+        if decision is PauseDecision.DROP:
+            self.engine.release(agent)
+        elif decision is PauseDecision.EXPORT:
+            self.engine.export(agent)
+
+    def fail(self, now: float) -> None:
+        """Lose the engine, its queue and its running calls."""
+        self.alive = False
+        lost = list(self._running)
+        while (queued := self.queue.take(now)) is not None:
+            lost.append(queued.payload)
+        lost.extend(queued.payload for queued in self.queue.expire(now))
+        self._running.clear()
+        self.engine.restart()
+        for attempt in sorted(lost, key=lambda attempt: attempt.queued.call_id):
+            self._on_end(attempt, "failed", now)
+
+    def recover(self) -> None:
+        """Return with an empty cache."""
+        self.alive = True
+        self._cache_event(CacheEventKind.CLEARED, "", 0)
+
+    def load(self) -> tuple[int, int, int, int]:
+        """Return the running and waiting calls, the limit and the urgent calls waiting."""
+        slots = self.engine.settings.slots
+        return self.engine.running, len(self.queue), slots, self.queue.waiting(Rank.URGENT)
+
+    def collect_events(self) -> list[CacheEvent]:
+        """Return the cache events since the last call."""
+        events, self._events = self._events, []
+        return events
+
+    def _cache_changed(self, program: str, tokens: int) -> None:
+        kind = CacheEventKind.STORED if tokens else CacheEventKind.REMOVED
+        self._cache_event(kind, f"program:{program}", tokens)
+
+    def _cache_event(self, kind: CacheEventKind, key: str, tokens: int) -> None:
+        self._sequence += 1
+        self._events.append(CacheEvent(self._sequence, kind, key, tokens, self._now))
--- /dev/null
+++ b/src/jayvalve/internal/measure/experiments.py
@@ -0,0 +1,180 @@
+"""The experiments, found by name."""
+
+from collections.abc import Callable, Sequence
+
+import attrs
+
+from jayvalve.internal.measure.candidates import BASELINES
+from jayvalve.internal.measure.expectations import Expectation, Figures
+from jayvalve.internal.measure.metrics import cache_rows, fault_rows, flood_rows, latency_rows
+from jayvalve.internal.measure.records import Records
+from jayvalve.internal.measure.scenarios import Row, Scenario, base_phase
+from jayvalve.internal.measure.workloads import Phase, workloads
+from jayvalve.internal.measure.world import Fault
+from jayvalve.internal.registry import Registry
+from jayvalve.internal.scheduling import Rank
+
+__all__ = ["Experiment", "Timing", "experiments"]
+
+LOAD = 0.8
+FLOOD_LOAD = 10.0
+POLICIES = (*BASELINES, "jayvalve")
+
+
+@attrs.frozen
+class Timing:
+    """Virtual times of the runs, in seconds.
+
+    Attributes:
+        warm_up_s: Start of the measured window.
+        arrivals_s: End of arrivals in runs without a flood.
+        drain_s: Time after the last arrival in which programs may finish.
+        flood: Begin and end of a flood.
+        fault: Begin and end of a fault.
+
+    """
+
+    warm_up_s: float = 60.0
+    arrivals_s: float = 600.0
+    drain_s: float = 600.0
+    flood: tuple[float, float] = (120.0, 420.0)
+    fault: tuple[float, float] = (240.0, 300.0)
+
+    @classmethod
+    def quick(cls) -> "Timing":
+        """Return short runs whose figures only show that the experiment works."""
+        return cls(20.0, 90.0, 60.0, (30.0, 70.0), (40.0, 55.0))
+
+
+@attrs.frozen
+class Experiment:
+    """Scenarios, and the bounds on their figures.
+
+    Attributes:
+        scenarios: Returns the runs for a workload, a seed and the timing.
+        expectations: Returns the bounds for a workload.
+
+    """
+
+    scenarios: Callable[[str, int, Timing], list[Scenario]]
+    expectations: Callable[[Figures, str], list[Expectation]]
+
+
+experiments: Registry[Experiment] = Registry("experiment")
+
+
+def _latency_and_cache_rows(scenario: Scenario, records: Records) -> list[Row]:
+    return latency_rows(scenario, records) + cache_rows(scenario, records)
+
+
+def _steady(workload: str, seed: int, timing: Timing, policies: Sequence[str]) -> list[Scenario]:
+    return [
+        Scenario(
+            candidate=policy,
+            label=policy,
+            workload=workload,
+            seed=seed,
+            phases=(base_phase(workload, LOAD, timing.arrivals_s),),
+            window=(timing.warm_up_s, timing.arrivals_s),
+            until_s=timing.arrivals_s + timing.drain_s,
+            measure=_latency_and_cache_rows,
+        )
+        for policy in policies
+    ]
+
+
+experiments.register("latency")(
+    Experiment(
+        lambda workload, seed, timing: _steady(workload, seed, timing, (*POLICIES, "oracle")),
+        lambda figures, workload: figures.latency(workload),
+    )
+)
+experiments.register("cache")(
+    Experiment(
+        lambda workload, seed, timing: _steady(workload, seed, timing, (*POLICIES, "oracle")),
+        lambda figures, workload: figures.cache(workload),
+    )
+)
+
+_LOSSES = {"": None, ", loss": "loss", ", data_centre_loss": "data_centre_loss"}
+
+
+def _flood_scenarios(
+    ranks: tuple[Rank, ...], workload: str, seed: int, timing: Timing
+) -> list[Scenario]:
+    begin_s, end_s = timing.flood
+    base = base_phase(workload, LOAD, end_s)
+    flood = Phase(begin_s, end_s, {rank: FLOOD_LOAD for rank in ranks})
+
+    def scenario(candidate: str, label: str, phases: tuple[Phase, ...], kind: str | None):
+        faults = (Fault(kind, *timing.fault),) if kind else ()
+        until_s = end_s + timing.drain_s
+        window = timing.flood
+        return Scenario(
+            candidate, label, workload, seed, phases, window, until_s, flood_rows, faults
+        )
+
+    at_capacity = (base_phase(workload, 1.0, end_s),)
+    runs = [
+        scenario("jayvalve", "jayvalve, no flood", (base,), None),
+        scenario("jayvalve", "jayvalve, capacity", at_capacity, None),
+    ]
+    runs += [scenario(policy, policy, (base, flood), None) for policy in BASELINES]
+    for suffix, kind in _LOSSES.items():
+        runs.append(scenario("jayvalve", "jayvalve" + suffix, (base, flood), kind))
+    return runs
+
+
+def _register_flood(name: str, ranks: tuple[Rank, ...]) -> None:
+    def scenarios(workload: str, seed: int, timing: Timing) -> list[Scenario]:
+        return _flood_scenarios(ranks, workload, seed, timing)
+
+    def expectations(figures: Figures, workload: str) -> list[Expectation]:
+        found = []
+        for suffix in _LOSSES:
+            found.extend(figures.flood(workload, ranks, suffix))
+        return found
+
+    experiments.register(name)(Experiment(scenarios, expectations))
+
+
+_register_flood("flood-ordinary", (Rank.ORDINARY,))
+_register_flood("flood-urgent", (Rank.URGENT,))
+_register_flood("flood-both", (Rank.URGENT, Rank.ORDINARY))
+
+
+def _register_faults(name: str, policies: Sequence[str], kinds: Sequence[str]) -> None:
+    def scenarios(workload: str, seed: int, timing: Timing) -> list[Scenario]:
+        # Long programs that start before the fault end after it, so arrivals go on for as
+        # long again as the time up to the fault.
+        end_s = timing.fault[1] + timing.fault[0]
+        return [
+            Scenario(
+                candidate=policy,
+                label=f"{policy}, {kind}",
+                workload=workload,
+                seed=seed,
+                phases=(base_phase(workload, LOAD, end_s),),
+                window=(timing.fault[0], end_s),
+                until_s=end_s + timing.drain_s,
+                measure=fault_rows,
+                faults=(Fault(kind, *timing.fault),),
+            )
+            for policy in policies
+            for kind in kinds
+        ]
+
+    def expectations(figures: Figures, workload: str) -> list[Expectation]:
+        return [e for kind in kinds for e in figures.fault(workload, kind)]
+
+    experiments.register(name)(Experiment(scenarios, expectations))
+
+
+_register_faults("loss", POLICIES, ("loss", "data_centre_loss"))
+_register_faults(
+    "retries",
+    ("jayvalve", "jayvalve_unlimited_retries", "program_hash"),
+    ("loss", "data_centre_loss", "slow", "errors"),
+)
+
+WORKLOADS = tuple(workloads.names)
--- /dev/null
+++ b/src/jayvalve/internal/measure/scenarios.py
@@ -0,0 +1,82 @@
+"""Runs of one candidate on one workload, and the rows they give."""
+
+from collections.abc import Callable
+
+import attrs
+
+from jayvalve.internal.measure.candidates import candidates
+from jayvalve.internal.measure.engine_model import EngineSettings
+from jayvalve.internal.measure.records import Records
+from jayvalve.internal.measure.workloads import Phase, generate_programs, workloads
+from jayvalve.internal.measure.world import Fault, World
+from jayvalve.internal.scheduling import Rank
+
+__all__ = ["ALL_RANKS", "Row", "Scenario", "base_phase", "run_scenario"]
+
+ALL_RANKS = "all"
+
+
+@attrs.frozen
+class Row:
+    """One figure of one run, or the median over the seeds.
+
+    ``low`` and ``high`` are the least and the greatest value over the seeds.
+    """
+
+    policy: str
+    workload: str
+    rank: str
+    metric: str
+    value: float
+    unit: str
+    low: float = float("nan")
+    high: float = float("nan")
+
+
+@attrs.frozen
+class Scenario:
+    """One run.
+
+    Attributes:
+        candidate: Name in ``candidates``.
+        label: Name of the policy in rows; the candidate and its circumstances.
+        workload: Name in ``workloads``.
+        seed: Seed of the programs and of all random choices.
+        phases: Offered load.
+        faults: Faults of endpoints.
+        window: Span of virtual seconds that is measured.
+        until_s: End of the run.
+        measure: Module-level function from the records to rows, so that it can be sent to
+            another process.
+
+    """
+
+    candidate: str
+    label: str
+    workload: str
+    seed: int
+    phases: tuple[Phase, ...]
+    window: tuple[float, float]
+    until_s: float
+    measure: Callable[["Scenario", Records], list[Row]]
+    faults: tuple[Fault, ...] = ()
+
+    def row(self, metric: str, value: float, unit: str, rank: str = ALL_RANKS) -> Row:
+        """Return a row of this scenario."""
+        return Row(self.label, self.workload, str(rank), metric, value, unit)
+
+
+def base_phase(workload: str, load: float, end_s: float) -> Phase:
+    """Return a phase with both ranks in the workload's proportion."""
+    share = workloads.get(workload).urgent_share
+    return Phase(0.0, end_s, {Rank.URGENT: load * share, Rank.ORDINARY: load * (1.0 - share)})
+
+
+def run_scenario(scenario: Scenario) -> list[Row]:
+    """Run a scenario and return its rows."""
+    deployment = workloads.get(scenario.workload)
+    engine = EngineSettings()
+    programs = generate_programs(deployment, engine, list(scenario.phases), scenario.seed)
+    world = World(deployment, candidates.get(scenario.candidate), engine, scenario.seed)
+    records = world.run(programs, list(scenario.faults), scenario.until_s)
+    return scenario.measure(scenario, records)
