Refuse program starts when memory is committed, and spread the retry hints

Cause: in a flood of 10 times, refused callers came back after the expected wait alone, so that they came back ten times as often as calls were taken, and more programs were started than the KV memory holds.

--- a/src/jayvalve/internal/scheduling/admission.py
+++ b/src/jayvalve/internal/scheduling/admission.py
@@ -11,6 +11,8 @@
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 30.0
 RATE_SMOOTHING = 0.05
+REFUSAL_SMOOTHING = 0.02
+MIN_ACCEPTED_SHARE = 0.05
 
 
 @attrs.frozen
@@ -25,6 +27,9 @@
         start_wait_s: Longest expected wait at which calls that start a program are taken.
             A refused start wastes nothing, whereas refusing a later call wastes what its
             program has already received.
+        memory_share: Share of the engine's memory that histories of programs in progress may
+            need before starts are refused. Beyond it programs evict one another's prefixes
+            between turns.
 
     """
 
@@ -32,6 +37,7 @@
     rank_share: float = 0.75
     floor: float = 0.3
     start_wait_s: float = 4.0
+    memory_share: float = 1.0
 
 
 @attrs.define
@@ -60,6 +66,7 @@
         self._queue = queue
         self._rate = rate
         self._settings = settings
+        self._refused_share = 0.0
 
     def expected_wait_s(self, rank: Rank) -> float:
         """Return the time that the waiting calls ahead of a new one take, in seconds.
@@ -72,37 +79,63 @@
         alone_s = (own + self._queue.waiting_tokens(other)) / self._rate.tokens_per_s
         return min(own / (share * self._rate.tokens_per_s), alone_s)
 
-    def check(self, call: QueuedCall, now: float) -> None:
+    def check(self, call: QueuedCall, now: float, memory_share: float = 0.0) -> None:
         """Return if the call may wait.
 
+        Args:
+            call: The arriving call.
+            now: Current time in seconds.
+            memory_share: Memory needed by the programs in progress, relative to the engine's.
+
         Raises:
             QueueFullError: the queue, or the rank's part of it, is full.
             DeadlineUnreachableError: the expected wait exceeds the call's deadline.
-            OverloadedError: the call would start a program and the wait is too long.
+            OverloadedError: the call would start a program, and the wait is too long or the
+                memory is committed.
 
         All carry the verdict not_run and a retry hint.
 
         """
+        refused = True
+        try:
+            self._check(call, now, memory_share)
+            refused = False
+        finally:
+            if call.starts_program:
+                self._refused_share += REFUSAL_SMOOTHING * (refused - self._refused_share)
+
+    def _check(self, call: QueuedCall, now: float, memory_share: float) -> None:
         wait_s = self.expected_wait_s(call.rank)
-        limit = self._settings.max_waiting
-        rank_limit = int(limit * self._settings.rank_share)
+        settings = self._settings
         waiting = self._queue.waiting(call.rank)
-        if len(self._queue) >= limit or waiting >= rank_limit:
+        rank_limit = int(settings.max_waiting * settings.rank_share)
+        if len(self._queue) >= settings.max_waiting or waiting >= rank_limit:
             raise QueueFullError(
-                f"{waiting} {call.rank} calls are waiting",
-                retry_after_s=_retry_hint_s(wait_s),
+                f"{waiting} {call.rank} calls are waiting", retry_after_s=self._hint_s(wait_s)
             )
         if now + wait_s > call.deadline_s:
             raise DeadlineUnreachableError(
                 f"expected wait {wait_s:.1f} s exceeds the deadline",
-                retry_after_s=_retry_hint_s(wait_s),
+                retry_after_s=self._hint_s(wait_s),
             )
-        if call.starts_program and wait_s > self._settings.start_wait_s:
+        if not call.starts_program:
+            return
+        if wait_s > settings.start_wait_s:
             raise OverloadedError(
                 f"expected wait {wait_s:.1f} s is too long to start a program",
-                retry_after_s=_retry_hint_s(wait_s - self._settings.start_wait_s),
+                retry_after_s=self._hint_s(wait_s),
+            )
+        if memory_share > settings.memory_share:
+            raise OverloadedError(
+                f"programs in progress need {memory_share:.0%} of the memory",
+                retry_after_s=self._hint_s(wait_s),
             )
 
+    def _hint_s(self, wait_s: float) -> float:
+        """Return when to come back: later, the more of the recent starts were refused.
 
-def _retry_hint_s(wait_s: float) -> float:
-    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+        With a hint of the wait alone, callers of a flood of 10 times came back ten times as
+        often as calls were taken.
+        """
+        crowd = 1.0 / max(MIN_ACCEPTED_SHARE, 1.0 - self._refused_share)
+        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s) * crowd)
