--- a/src/jayvalve/internal/measure/endpoint.py
+++ b/src/jayvalve/internal/measure/endpoint.py
@@ -82,7 +82,7 @@
         admission = AdmissionSettings(max_waiting=candidate.max_waiting)
         self._admission = AdmissionControl(self.queue, self._rate, admission)
         self._running: set[Attempt] = set()
-        self._committed: dict[str, int] = {}
+        self._committed: dict[str, tuple[Rank, int]] = {}
         self._sequence = 0
         self._events: list[CacheEvent] = []
         self._now = 0.0
@@ -92,13 +92,19 @@
         """Queue an attempt, or raise the error with which it is refused."""
         self._now = now
         if self._candidate.admission:
-            committed = sum(self._committed.values()) / self.engine.settings.cache_tokens
-            self._admission.check(attempt.queued, now, committed)
+            self._admission.check(attempt.queued, now, self._memory_shares())
         self.queue.offer(attempt.queued, now)
         call = attempt.call
-        self._committed[call.agent] = call.prefix_tokens + call.new_tokens + call.output_tokens
+        needed = call.prefix_tokens + call.new_tokens + call.output_tokens
+        self._committed[call.agent] = (call.rank, needed)
         self._fill(now)
 
+    def _memory_shares(self) -> dict[Rank, float]:
+        shares = dict.fromkeys(Rank, 0.0)
+        for rank, tokens in self._committed.values():
+            shares[rank] += tokens / self.engine.settings.cache_tokens
+        return shares
+
     def _fill(self, now: float) -> None:
         while self.engine.running < self.engine.settings.slots:
             queued = self.queue.take(now)
--- a/src/jayvalve/internal/scheduling/admission.py
+++ b/src/jayvalve/internal/scheduling/admission.py
@@ -1,5 +1,7 @@
 """Early refusal of calls that an endpoint cannot serve in time."""
 
+from collections.abc import Mapping
+
 import attrs
 
 from jayvalve.errors import DeadlineUnreachableError, OverloadedError, QueueFullError
@@ -29,7 +31,8 @@
             program has already received.
         memory_share: Share of the engine's memory that histories of programs in progress may
             need before starts are refused. Beyond it programs evict one another's prefixes
-            between turns.
+            between turns. A rank whose own programs need less than its guaranteed part of it
+            is taken even then, so that a flood of the other rank cannot shut it out.
 
     """
 
@@ -75,17 +78,20 @@
         """
         other = Rank.ORDINARY if rank is Rank.URGENT else Rank.URGENT
         own = self._queue.waiting_tokens(rank)
-        share = 1.0 - self._settings.floor if rank is Rank.URGENT else self._settings.floor
+        share = self._share(rank)
         alone_s = (own + self._queue.waiting_tokens(other)) / self._rate.tokens_per_s
         return min(own / (share * self._rate.tokens_per_s), alone_s)
 
-    def check(self, call: QueuedCall, now: float, memory_share: float = 0.0) -> None:
+    def check(
+        self, call: QueuedCall, now: float, memory_shares: Mapping[Rank, float] | None = None
+    ) -> None:
         """Return if the call may wait.
 
         Args:
             call: The arriving call.
             now: Current time in seconds.
-            memory_share: Memory needed by the programs in progress, relative to the engine's.
+            memory_shares: Memory needed by the programs in progress of each rank, relative to
+                the engine's.
 
         Raises:
             QueueFullError: the queue, or the rank's part of it, is full.
@@ -98,13 +104,13 @@
         """
         refused = True
         try:
-            self._check(call, now, memory_share)
+            self._check(call, now, memory_shares or {})
             refused = False
         finally:
             if call.starts_program:
                 self._refused_share += REFUSAL_SMOOTHING * (refused - self._refused_share)
 
-    def _check(self, call: QueuedCall, now: float, memory_share: float) -> None:
+    def _check(self, call: QueuedCall, now: float, memory_shares: Mapping[Rank, float]) -> None:
         wait_s = self.expected_wait_s(call.rank)
         settings = self._settings
         waiting = self._queue.waiting(call.rank)
@@ -125,12 +131,21 @@
                 f"expected wait {wait_s:.1f} s is too long to start a program",
                 retry_after_s=self._hint_s(wait_s),
             )
-        if memory_share > settings.memory_share:
+        self._check_memory(call.rank, memory_shares, wait_s)
+
+    def _check_memory(self, rank: Rank, memory_shares: Mapping[Rank, float], wait_s: float) -> None:
+        needed = sum(memory_shares.values())
+        own = memory_shares.get(rank, 0.0)
+        guaranteed = self._settings.memory_share * self._share(rank)
+        if needed > self._settings.memory_share and own > guaranteed:
             raise OverloadedError(
-                f"programs in progress need {memory_share:.0%} of the memory",
+                f"programs in progress need {needed:.0%} of the memory",
                 retry_after_s=self._hint_s(wait_s),
             )
 
+    def _share(self, rank: Rank) -> float:
+        return 1.0 - self._settings.floor if rank is Rank.URGENT else self._settings.floor
+
     def _hint_s(self, wait_s: float) -> float:
         """Return when to come back: later, the more of the recent starts were refused.
 
