Start fewer programs under load and charge only useful tokens

Cause: histories grow after a start, so that programs admitted up to the whole memory evicted one another; long waits made urgent calls miss their deadline of 30 s in mid-program; rebuilt prefixes were charged to the ordinary rank. Change: starts wait at most 1 s instead of 4 s and may commit 70% of the memory; service is charged without rebuilt tokens.

--- a/src/jayvalve/internal/measure/endpoint.py
+++ b/src/jayvalve/internal/measure/endpoint.py
@@ -131,7 +131,8 @@
         call = attempt.call
         self.engine.finish(call.agent)
         tokens = served_tokens(attempt.computed_tokens, call.output_tokens)
-        self.queue.settle(attempt.queued, tokens)
+        # Rebuilding an evicted prefix is not service that the caller asked for.
+        self.queue.settle(attempt.queued, served_tokens(call.new_tokens, call.output_tokens))
         self._rate.observe(tokens, now - attempt.started_s)
         failed = self.failure_share > 0.0 and self._rng.random() < self.failure_share
         self._on_end(attempt, "failed" if failed else "done", now)
--- a/src/jayvalve/internal/scheduling/admission.py
+++ b/src/jayvalve/internal/scheduling/admission.py
@@ -39,8 +39,8 @@
     max_waiting: int = 1024
     rank_share: float = 0.75
     floor: float = 0.3
-    start_wait_s: float = 4.0
-    memory_share: float = 1.0
+    start_wait_s: float = 1.0
+    memory_share: float = 0.7
 
 
 @attrs.define
