Add the commands under jayvalve config

Operators had no way to import their asset register, plan, publish or roll out a configuration from the command line. config import, check, diff, plan, publish, history, restore, show and wait do so; a publish that lost a race shows the other change. Entries list the configuration version that each member last sent, which config wait reads.

--- a/src/jayvalve/cli.py
+++ b/src/jayvalve/cli.py
@@ -10,10 +10,11 @@
 
 from jayvalve.demo import run_demo
 from jayvalve.deployments import DEPLOYMENTS, InProcessDeployment
-from jayvalve.errors import InvalidSettingsError, JayvalveError
+from jayvalve.errors import InvalidRequestError, InvalidSettingsError, JayvalveError
 from jayvalve.internal.entry.app import EntryProcess
 from jayvalve.internal.lifecycle import Service, run_until_stopped
 from jayvalve.internal.logging import configure_logging
+from jayvalve.internal.operator.config_commands import ConfigCommands
 from jayvalve.internal.schema import parse_json
 from jayvalve.internal.settings import Settings, load_settings
 from jayvalve.internal.sidecar.app import SidecarProcess
@@ -43,6 +44,8 @@
 class Commands:
     """Scheduler for agent programs in front of model engines and application services."""
 
+    config = ConfigCommands()
+
     def entry(self, config: str) -> None:
         """Run an entry: serves callers, owns programs and routes their calls.
 
@@ -105,10 +108,12 @@
 
 
 def main() -> None:
-    """Run the command line; errors give one line and exit code 2."""
+    """Run the command line; an error gives one line and exit code 1, or 2 for wrong input."""
+    configure_logging("jayvalve", "WARNING")
     with contextlib.suppress(KeyboardInterrupt):
         try:
             fire.Fire(Commands, name="jayvalve")
         except JayvalveError as error:
-            print(f"jayvalve: {error.code}: {error.message}", file=sys.stderr)
-            sys.exit(EXIT_ERROR)
+            message = " ".join(error.message.split())
+            print(f"jayvalve: {error.code}: {message}", file=sys.stderr)
+            sys.exit(EXIT_ERROR if isinstance(error, InvalidRequestError) else EXIT_FAILED)
--- a/src/jayvalve/internal/entry/app.py
+++ b/src/jayvalve/internal/entry/app.py
@@ -40,7 +40,7 @@
 from jayvalve.internal.entry.service import EntryService
 from jayvalve.internal.limits import OutlierDetector, RetryBudget, RetryPolicy
 from jayvalve.internal.log import LogClient
-from jayvalve.internal.membership import HeartbeatSource, MemberChange
+from jayvalve.internal.membership import HeartbeatSource, Member, MemberChange
 from jayvalve.internal.programs import CopyStore, OwnershipTable, ProgramId
 from jayvalve.internal.programs.handlers import register_copies
 from jayvalve.internal.runtime import Runtime, holder_name, split_holder_name
@@ -66,6 +66,8 @@
 # Seeds and sidecars that do not answer for this time after the start are taken to be gone.
 SETTLE_LIMIT_S = 6.0
 DEFAULT_RULES = Rules()
+# The target has about 1,000 instances; names that have gone are dropped above this number.
+MAX_PEER_VERSIONS = 2048
 
 
 class EntryProcess:
@@ -79,6 +81,8 @@
         self._active_requests = 0
         self._created_s = self._clock.now()
         self._settled = False
+        # Highest configuration version that each instance has sent, with its incarnation.
+        self._peer_versions: dict[str, tuple[int, int]] = {}
         self._log = LogClient(settings.log_url) if settings.log_url else None
         self._build_configuration()
         self._build_programs()
@@ -250,6 +254,7 @@
                     "role": member.role,
                     "data_centre": member.data_centre,
                     "state": str(member.state),
+                    "configuration_version": self._version_of(member),
                 }
                 for member in view.members()
             ],
@@ -371,6 +376,11 @@
 
     def _on_heartbeat(self, peer: Hello, heartbeat: Heartbeat) -> None:
         self._sync.observe(peer, heartbeat)
+        seen = (peer.incarnation, heartbeat.configuration_version)
+        self._peer_versions[peer.instance] = max(seen, self._peer_versions.get(peer.instance, seen))
+        if len(self._peer_versions) > MAX_PEER_VERSIONS:
+            known = {member.instance for member in self._runtime.view.members()}
+            self._peer_versions = {k: v for k, v in self._peer_versions.items() if k in known}
         if heartbeat.load:
             member = self._runtime.view.get(peer.instance)
             name = self._directory.endpoint_of(member) if member is not None else None
@@ -380,6 +390,11 @@
     def _on_configuration(self, version: int, document: Document) -> None:
         self._directory.set_document(document)
 
+    def _version_of(self, member: Member) -> int:
+        """Return the version that an instance was last seen with; 0 if it sent none yet."""
+        incarnation, version = self._peer_versions.get(member.instance, (0, 0))
+        return version if incarnation == member.incarnation else 0
+
     def _on_member_change(self, change: MemberChange) -> None:
         if self._relays is not None and change.member.role == ROLE:
             self._relays.prepare(self._settings.instance, sorted(self._entries()))
--- /dev/null
+++ b/src/jayvalve/internal/operator/__init__.py
@@ -0,0 +1,1 @@
+"""Commands and reports for operators."""
--- /dev/null
+++ b/src/jayvalve/internal/operator/config_commands.py
@@ -0,0 +1,336 @@
+"""Commands under ``jayvalve config``."""
+
+import asyncio
+import getpass
+import pathlib
+import sys
+from typing import Any
+
+from fire.decorators import SetParseFn
+
+__all__ = ["ConfigCommands"]
+
+EXIT_REFUSED = 1
+MAX_ROLLOUT_WAIT_S = 3600.0
+DEFAULT_ROLLOUT_WAIT_S = 30.0
+
+
+class ConfigCommands:
+    """Inventory and rules: import, check, publish and roll out."""
+
+    @SetParseFn(str, "csv", "mapping", "output", "base")
+    def _import(self, csv: str, mapping: str, output: str = "", base: str = "") -> None:
+        """Build a configuration from an asset register.
+
+        The document goes to standard output or to a file; refused rows are reported on
+        standard error. Exit code 1 means that at least one row was refused.
+
+        Args:
+            csv: Path of the register, with a heading row.
+            mapping: Path of the JSON column mapping.
+            output: Path of the file to write.
+            base: Path of a configuration whose rules are kept.
+        """
+        from jayvalve.internal.operator.inventory_import import ColumnMapping, import_inventory
+        from jayvalve.internal.operator.output import print_json, write_document
+        from jayvalve.internal.schema import parse_json
+
+        chosen = ColumnMapping.from_config(parse_json(_read(mapping), mapping))
+        rules = _document(base).to_value().get("rules") if base else None
+        result = import_inventory(_read(csv), chosen, rules)
+        for row in result.refused:
+            print(f"{csv}: row {row.row}: {row.reason}", file=sys.stderr)
+        if output:
+            write_document(result.document, output)
+            print(
+                f"{result.imported} endpoints imported, {len(result.refused)} rows refused, "
+                f"{result.left_out} rows left out by the mapping"
+            )
+        else:
+            print_json(result.document)
+        if result.refused:
+            sys.exit(EXIT_REFUSED)
+
+    @SetParseFn(str, "file")
+    def check(self, file: str) -> None:
+        """Check a configuration and report every fault with its path.
+
+        Args:
+            file: Path of the configuration.
+        """
+        document = _document(file)
+        print(f"{file}: valid, {len(document.inventory.endpoints)} endpoints")
+
+    @SetParseFn(str, "old", "new")
+    def diff(self, old: str, new: str, json: bool = False) -> None:
+        """Show what differs between two configurations.
+
+        Args:
+            old: Path of the earlier configuration.
+            new: Path of the later one.
+            json: Print JSON.
+        """
+        from jayvalve.internal.operator.changes import change_rows
+        from jayvalve.internal.operator.output import print_json
+
+        changes = change_rows(_document(old), _document(new))
+        if json:
+            print_json(changes)
+        else:
+            _print_changes("changes", changes)
+
+    @SetParseFn(str, "file", "log")
+    def plan(self, file: str, log: str, json: bool = False) -> None:
+        """Show what a publish would move, load or leave without an endpoint.
+
+        Args:
+            file: Path of the configuration.
+            log: URL of the log service.
+            json: Print JSON.
+        """
+        from jayvalve.internal.operator.changes import open_session, plan_document
+        from jayvalve.internal.operator.output import print_json
+
+        document = _document(file)
+
+        async def run() -> dict[str, Any]:
+            async with open_session(log) as session:
+                return plan_document(session.document, document, session.in_force.version)
+
+        plan = asyncio.run(run())
+        if json:
+            print_json(plan)
+        else:
+            _print_plan(plan)
+
+    @SetParseFn(str, "file", "log", "author")
+    def publish(self, file: str, expect: int, log: str, author: str = "", json: bool = False):
+        """Publish a configuration on top of the version that it was made from.
+
+        If another version is in force, nothing is published; its author, number and changes
+        are shown and the exit code is 1.
+
+        Args:
+            file: Path of the configuration.
+            expect: Version that must be in force; 0 for the first publish.
+            log: URL of the log service.
+            author: Recorded as the author; the user's name by default.
+            json: Print JSON.
+        """
+        document = _document(file)
+        expected = _version(expect, "--expect", 0)
+        _run_publish(
+            log,
+            expected,
+            lambda session: session.publish(document, expected, author or _user()),
+            json,
+        )
+
+    @SetParseFn(str, "log", "author")
+    def restore(self, version: int, expect: int, log: str, author: str = "", json: bool = False):
+        """Publish an earlier version's document again, as a new version.
+
+        Args:
+            version: Version to restore.
+            expect: Version that must be in force.
+            log: URL of the log service.
+            author: Recorded as the author; the user's name by default.
+            json: Print JSON.
+        """
+        wanted, expected = _version(version, "VERSION", 1), _version(expect, "--expect", 1)
+        _run_publish(
+            log,
+            expected,
+            lambda session: session.restore(wanted, expected, author or _user()),
+            json,
+        )
+
+    @SetParseFn(str, "log")
+    def history(self, log: str, json: bool = False) -> None:
+        """List the publishes and renewals that the log still keeps.
+
+        Args:
+            log: URL of the log service.
+            json: Print JSON.
+        """
+        import datetime
+
+        from jayvalve.internal.operator.changes import open_session
+        from jayvalve.internal.operator.output import print_json, print_table
+
+        async def run() -> list[Any]:
+            async with open_session(log) as session:
+                return await session.history()
+
+        names = ("offset", "time", "kind", "version", "author", "accepted", "reason")
+        rows = [[getattr(entry, name) for name in names] for entry in asyncio.run(run())]
+        if json:
+            print_json([dict(zip(names, row, strict=True)) for row in rows])
+            return
+        for row in rows:
+            moment = datetime.datetime.fromtimestamp(row[1], datetime.UTC)
+            row[1] = moment.isoformat(timespec="seconds")
+        print_table("history", names, rows)
+
+    @SetParseFn(str, "log", "output")
+    def show(self, log: str, version: int = 0, output: str = "") -> None:
+        """Show the configuration in force, or an earlier version.
+
+        Without --output, a JSON object with version, author and document is printed.
+
+        Args:
+            log: URL of the log service.
+            version: Version to show; 0 is the one in force.
+            output: Path of a file to write the document to, for editing.
+        """
+        from jayvalve.errors import InvalidRequestError
+        from jayvalve.internal.configuration import Document
+        from jayvalve.internal.operator.changes import open_session
+        from jayvalve.internal.operator.output import print_json, write_document
+
+        wanted = _version(version, "--version", 0)
+
+        async def run() -> Any:
+            async with open_session(log) as session:
+                return await session.version(wanted) if wanted else session.in_force
+
+        found = asyncio.run(run())
+        if not found.document:
+            raise InvalidRequestError("nothing has been published yet")
+        document = Document.from_json(found.document).to_value()
+        if output:
+            write_document(document, output)
+            print(f"version {found.version} by {found.author or 'an unknown author'}")
+        else:
+            print_json({"version": found.version, "author": found.author, "document": document})
+
+    @SetParseFn(str, "entries")
+    def wait(
+        self,
+        version: int,
+        entries: str,
+        timeout: float = DEFAULT_ROLLOUT_WAIT_S,
+        json: bool = False,
+    ) -> None:
+        """Wait until all live instances have a version; name those that have not.
+
+        Args:
+            version: Version to wait for; a later one counts too.
+            entries: Comma-separated URLs of entries.
+            timeout: Seconds to wait at most.
+            json: Print JSON.
+        """
+        import attrs
+
+        from jayvalve.internal.operator.fleet import entry_urls
+        from jayvalve.internal.operator.output import print_json
+        from jayvalve.internal.operator.rollout import wait_for_version
+
+        wanted = _version(version, "VERSION", 1)
+        limit_s = _seconds(timeout)
+        state = asyncio.run(wait_for_version(entry_urls(entries), wanted, limit_s))
+        if json:
+            print_json({**attrs.asdict(state), "complete": state.complete})
+        else:
+            total = len(state.reached) + len(state.pending)
+            print(f"version {wanted}: {len(state.reached)} of {total} live instances have it")
+            for name, seen in state.pending.items():
+                print(f"  {name} has version {seen}")
+            for url, reason in state.missing.items():
+                print(f"  {url} did not answer: {reason}")
+        if not state.complete:
+            sys.exit(EXIT_REFUSED)
+
+
+# "import" is a keyword of Python, so the command cannot be defined under its own name.
+setattr(ConfigCommands, "import", ConfigCommands._import)
+
+
+def _run_publish(log: str, expected: int, publish: Any, json: bool) -> None:
+    import attrs
+
+    from jayvalve.errors import PublishConflictError
+    from jayvalve.internal.operator.changes import open_session
+    from jayvalve.internal.operator.output import print_json
+
+    async def run() -> Any:
+        async with open_session(log) as session:
+            try:
+                return await publish(session)
+            except PublishConflictError as error:
+                conflict = await session.conflict(expected)
+                if json:
+                    print_json({"conflict": attrs.asdict(conflict)})
+                else:
+                    title = f"version {conflict.version} by {conflict.author} changed"
+                    _print_changes(title, conflict.changes)
+                raise error
+
+    accepted = asyncio.run(run())
+    if json:
+        print_json({"version": accepted.version, "digest": accepted.digest})
+    else:
+        print(f"version {accepted.version} is in force")
+
+
+def _print_changes(title: str, changes: list[dict[str, Any]]) -> None:
+    from jayvalve.internal.operator.output import print_table
+
+    rows = [[change["path"], change["before"], change["after"]] for change in changes]
+    print_table(title, ("path", "before", "after"), rows)
+
+
+def _print_plan(plan: dict[str, Any]) -> None:
+    from jayvalve.internal.operator.output import print_table
+
+    print(f"version in force: {plan['version_in_force']}")
+    for title in ("endpoints_added", "endpoints_removed", "capabilities_lost"):
+        heading = title.replace("_", " ")
+        if title == "capabilities_lost":
+            heading = "capabilities that lose their last endpoint"
+        print(f"{heading}: {', '.join(plan[title]) or 'none'}")
+    moved = [list(item.values()) for item in plan["endpoints_moved"]]
+    print_table("endpoints moved", ("endpoint", "what", "before", "after"), moved)
+    print_table("models loaded", ("endpoint", "model"), plan["models_loaded"])
+    print_table("models lost", ("endpoint", "model"), plan["models_lost"])
+    _print_changes("changes", plan["changes"])
+
+
+def _read(path: str) -> str:
+    from jayvalve.errors import InvalidSettingsError
+
+    try:
+        return pathlib.Path(path).read_text(encoding="utf-8-sig")
+    except (OSError, UnicodeDecodeError) as error:
+        raise InvalidSettingsError(f"{path}: cannot be read: {error}") from error
+
+
+def _document(path: str) -> Any:
+    from jayvalve.errors import InvalidSettingsError
+    from jayvalve.internal.configuration import Document
+
+    try:
+        return Document.from_json(_read(path))
+    except InvalidSettingsError as error:
+        message = error.message.removeprefix(f"{path}: ")
+        raise InvalidSettingsError(f"{path}: {message}") from error
+
+
+def _version(value: object, name: str, minimum: int) -> int:
+    from jayvalve.errors import InvalidRequestError
+
+    if type(value) is not int or value < minimum:
+        raise InvalidRequestError(f"{name} takes a version number from {minimum}, not {value!r}")
+    return value
+
+
+def _seconds(value: object) -> float:
+    from jayvalve.errors import InvalidRequestError
+
+    if type(value) not in (int, float) or not 0 <= value <= MAX_ROLLOUT_WAIT_S:
+        raise InvalidRequestError(f"--timeout takes 0 to {MAX_ROLLOUT_WAIT_S:.0f} seconds")
+    return float(value)
+
+
+def _user() -> str:
+    return getpass.getuser()
--- /dev/null
+++ b/src/jayvalve/internal/operator/output.py
@@ -0,0 +1,55 @@
+"""Printing of tables and JSON documents for operators."""
+
+import json
+import sys
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+from rich.console import Console
+from rich.table import Table
+
+__all__ = ["print_json", "print_table", "write_document"]
+
+# Output that goes to a file or a pipe is not wrapped, so that one row stays one line.
+PIPE_WIDTH = 2000
+
+
+def _console() -> Console:
+    if sys.stdout.isatty():
+        return Console(highlight=False, markup=False)
+    return Console(file=sys.stdout, width=PIPE_WIDTH, highlight=False, markup=False)
+
+
+def print_json(value: Any) -> None:
+    """Print a value as indented JSON."""
+    print(json.dumps(value, indent=2, ensure_ascii=False, sort_keys=True))
+
+
+def print_table(title: str, columns: Sequence[str], rows: Iterable[Sequence[Any]]) -> None:
+    """Print a titled table; an empty one gives a line that says so."""
+    rows = list(rows)
+    if not rows:
+        print(f"{title}: none")
+        return
+    table = Table(*columns, box=None, pad_edge=False, show_edge=False)
+    for row in rows:
+        table.add_row(*(_cell(value) for value in row))
+    print(f"{title}:")
+    _console().print(table)
+
+
+def write_document(document: dict[str, Any], output: str) -> None:
+    """Write a configuration document to a file."""
+    with open(output, "w", encoding="utf-8") as file:
+        json.dump(document, file, indent=2, ensure_ascii=False)
+        file.write("\n")
+
+
+def _cell(value: Any) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, str):
+        return value
+    if isinstance(value, float):
+        return f"{value:.3f}"
+    return json.dumps(value, ensure_ascii=False, default=str)
