--- a/src/jayvalve/cli.py
+++ b/src/jayvalve/cli.py
@@ -15,6 +15,12 @@
 from jayvalve.internal.lifecycle import Service, run_until_stopped
 from jayvalve.internal.logging import configure_logging
 from jayvalve.internal.operator.config_commands import ConfigCommands
+from jayvalve.internal.operator.run_commands import (
+    KeysCommands,
+    ProgramsCommands,
+    settle,
+    status,
+)
 from jayvalve.internal.schema import parse_json
 from jayvalve.internal.settings import Settings, load_settings
 from jayvalve.internal.sidecar.app import SidecarProcess
@@ -45,6 +51,10 @@
     """Scheduler for agent programs in front of model engines and application services."""
 
     config = ConfigCommands()
+    programs = ProgramsCommands()
+    keys = KeysCommands()
+    status = staticmethod(status)
+    settle = staticmethod(settle)
 
     def entry(self, config: str) -> None:
         """Run an entry: serves callers, owns programs and routes their calls.
--- a/src/jayvalve/deployments/in_process.py
+++ b/src/jayvalve/deployments/in_process.py
@@ -99,7 +99,10 @@
             self._log_url, inventory_document(self._deployment, addresses), 0, "local"
         )
         await self._wait_ready()
-        return f"jayvalve local ({self._deployment.name}) ready on {self.urls[0]}"
+        return (
+            f"jayvalve local ({self._deployment.name}) ready on {self.urls[0]}\n"
+            f"entries on {','.join(self.urls)}, log on {self._log_url}"
+        )
 
     async def drain(self) -> None:
         """Finish the requests in progress; nothing is handed over, since all parts end."""
--- a/src/jayvalve/errors.py
+++ b/src/jayvalve/errors.py
@@ -41,6 +41,7 @@
     "QueueFullError",
     "RateLimitedError",
     "ServiceUnknownError",
+    "SettleRefusedError",
     "StaleTermError",
     "UnauthorizedError",
     "WrongIncarnationError",
@@ -220,6 +221,13 @@
     status = HTTPStatus.CONFLICT
 
 
+class SettleRefusedError(JayvalveError):
+    """An operator's verdict came after the call's verdict was known."""
+
+    code = "settle_refused"
+    status = HTTPStatus.CONFLICT
+
+
 class KeyExpiredError(JayvalveError):
     """The Idempotency-Key is older than the log's retention."""
 
--- a/src/jayvalve/internal/entry/app.py
+++ b/src/jayvalve/internal/entry/app.py
@@ -36,11 +36,13 @@
     ModelsHandler,
     ProgramQueryHandler,
     StatusHandler,
+    TimelineHandler,
 )
 from jayvalve.internal.entry.service import EntryService
 from jayvalve.internal.limits import OutlierDetector, RetryBudget, RetryPolicy
 from jayvalve.internal.log import LogClient
 from jayvalve.internal.membership import HeartbeatSource, Member, MemberChange
+from jayvalve.internal.operator.observer import CallObserver
 from jayvalve.internal.programs import CopyStore, OwnershipTable, ProgramId
 from jayvalve.internal.programs.handlers import register_copies
 from jayvalve.internal.runtime import Runtime, holder_name, split_holder_name
@@ -173,6 +175,7 @@
                 runtime.spawn,
                 self._clock,
             )
+        self._observer = CallObserver(self._clock)
         tools = ExecutionTools(
             self._clock,
             self._directory,
@@ -181,6 +184,7 @@
             self._claims,
             runtime.metrics,
             AttemptIds(runtime.identity.incarnation),
+            self._observer,
         )
         self._calls = ProgramCalls(self._table, tools, runtime.spawn, self._budget_rule)
         self._service = EntryService(
@@ -248,6 +252,7 @@
             "programs": len(self._table.programs),
             "calls": self._calls.running,
             "copy_bytes": self._copies.bytes_held,
+            **self._observer.status(),
             "members": [
                 {
                     "instance": member.instance,
@@ -265,6 +270,7 @@
                     "state": str(endpoint.state),
                     "running": endpoint.load.running,
                     "waiting": endpoint.load.waiting,
+                    "waiting_urgent": endpoint.load.waiting_urgent,
                 }
                 for endpoint in self._directory.views()
             ],
@@ -293,6 +299,7 @@
                 ("/healthz", HealthHandler, {"state": self._health}),
                 ("/metrics", MetricsHandler, {"metrics": self._runtime.metrics}),
                 ("/status", StatusHandler, {"status": self.status}),
+                ("/programs/([^/]+)", TimelineHandler, {"find": self._observer.timelines.find}),
             ],
             log_function=lambda handler: None,
         )
--- a/src/jayvalve/internal/entry/call_stream.py
+++ b/src/jayvalve/internal/entry/call_stream.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from jayvalve.errors import JayvalveError
+from jayvalve.internal.operator.observer import CallObservation
 from jayvalve.internal.wire.messages import Chunk, Completed, ResponseHead
 
 __all__ = ["CallStream"]
@@ -17,7 +18,8 @@
     runs once.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, observation: CallObservation | None = None) -> None:
+        self._observation = observation
         self._parts: list[Any] = []
         self._error: JayvalveError | None = None
         self._ended = False
@@ -39,16 +41,25 @@
         """Whether the answer is complete or has failed."""
         return self._ended
 
+    def note_attempt(self, turn: int, endpoint: str) -> None:
+        """Record that an attempt of the call goes to an endpoint."""
+        if self._observation is not None:
+            self._observation.note_attempt(turn, endpoint)
+
     def send(self, part: ResponseHead | Chunk | Completed) -> None:
         """Add a part; Completed ends the answer."""
         self._parts.append(part)
         self._ended = isinstance(part, Completed)
+        if self._observation is not None:
+            self._observation.note_part(part)
         self._wake()
 
     def fail(self, error: JayvalveError) -> None:
         """End the answer with an error."""
         self._error = error
         self._ended = True
+        if self._observation is not None:
+            self._observation.note_failure(error)
         self._wake()
 
     async def read(self) -> AsyncIterator[ResponseHead | Chunk | Completed]:
--- a/src/jayvalve/internal/entry/execution.py
+++ b/src/jayvalve/internal/entry/execution.py
@@ -27,6 +27,7 @@
 from jayvalve.internal.limits import RetryPolicy
 from jayvalve.internal.membership import Member
 from jayvalve.internal.metrics import Metrics
+from jayvalve.internal.operator.observer import CallObserver
 from jayvalve.internal.programs import Amount, Intent, Term
 from jayvalve.internal.routing import Capability, Prefix, RoutingCall
 from jayvalve.internal.timing import Clock, Deadline
@@ -61,6 +62,7 @@
     claims: KeyClaims | None
     metrics: Metrics
     attempt_ids: AttemptIds
+    observer: CallObserver
 
 
 class CallExecution:
@@ -158,6 +160,7 @@
         target = self._tools.directory.choose(self._routing_call(attempt_id))
         started_s = self._tools.clock.now()
         self._journal.note_endpoint(target.endpoint.name)
+        self._stream.note_attempt(self._turn, target.endpoint.name)
         try:
             body, amount = self._prepare_body()
             answer = await self._attempt_at(target, attempt_id, body, amount)
--- a/src/jayvalve/internal/entry/programs.py
+++ b/src/jayvalve/internal/entry/programs.py
@@ -116,7 +116,7 @@
 
     def run_single(self, call: CallRequest) -> CallStream:
         """Run a call without a program."""
-        stream = CallStream()
+        stream = CallStream(self._tools.observer.begin(call, None, False))
         deadline = Deadline.after(self._tools.clock, call.deadline_s)
         execution = CallExecution(
             self._tools, call, 1, EphemeralJournal(), Term(0), stream, deadline
@@ -137,16 +137,25 @@
         running = agent.streams.get(call.request_id)
         if running is not None:
             return running
-        stream = CallStream()
+        observation = self._tools.observer.begin(
+            call, identity.root.key, all(state.last_turn == 0 for state in program.agents.values())
+        )
+        stream = CallStream(observation)
         agent.streams[call.request_id] = stream
         self._spawn(self._drive(owned, identity, agent, call, stream))
         return stream
 
+    def finish(self, owned: OwnedProgram) -> None:
+        """Drop the sequences of a program that ended."""
+        self._tools.observer.end_program(owned.program.identity.key)
+        self.forget(owned)
+
     def forget(self, owned: OwnedProgram) -> None:
-        """Drop the sequences of a program that ended or moved."""
+        """Drop the sequences of a program that moved to another owner."""
         for key in [key for key in self._agents if key[0] == id(owned)]:
             del self._agents[key]
         self._last_used_s.pop(owned.program.identity.key, None)
+        self._tools.observer.timelines.forget(owned.program.identity.key)
 
     def _agent(self, owned: OwnedProgram, identity: ProgramId) -> _AgentCalls:
         key = (id(owned), identity.name)
--- a/src/jayvalve/internal/entry/queries.py
+++ b/src/jayvalve/internal/entry/queries.py
@@ -14,6 +14,7 @@
     "ModelsHandler",
     "ProgramQueryHandler",
     "StatusHandler",
+    "TimelineHandler",
 ]
 
 
@@ -81,3 +82,16 @@
         """Return the status document as JSON."""
         self.set_header("Content-Type", "application/json")
         self.finish(json.dumps(self._status(), sort_keys=True))
+
+
+class TimelineHandler(ErrorHandler):
+    """``GET /programs/{id}``, for operators."""
+
+    def initialize(self, find: Callable[[str, str | None], list[dict[str, Any]]]) -> None:
+        """Receive the lookup of timelines."""
+        self._find = find
+
+    def get(self, program: str) -> None:
+        """Return the timelines of the owned programs of that name, of all organisations."""
+        organisation = self.get_query_argument("organisation", None)
+        self.finish({"programs": self._find(program, organisation)})
--- a/src/jayvalve/internal/entry/service.py
+++ b/src/jayvalve/internal/entry/service.py
@@ -99,7 +99,7 @@
         unreached = await self._table.end(identity)
         if unreached:
             _log.warning("{} kept a copy of ended program {}", sorted(unreached), identity.key)
-        self._calls.forget(owned)
+        self._calls.finish(owned)
         release = ReleaseProgram(identity.key, term.epoch, term.handover)
         for sidecar in self._directory.forget_program(identity.key):
             self._spawn(self._release(sidecar, release))
--- a/src/jayvalve/internal/operator/output.py
+++ b/src/jayvalve/internal/operator/output.py
@@ -1,5 +1,6 @@
 """Printing of tables and JSON documents for operators."""
 
+import io
 import json
 import sys
 from collections.abc import Iterable, Sequence
@@ -14,10 +15,14 @@
 PIPE_WIDTH = 2000
 
 
-def _console() -> Console:
+def _print(table: Table) -> None:
     if sys.stdout.isatty():
-        return Console(highlight=False, markup=False)
-    return Console(file=sys.stdout, width=PIPE_WIDTH, highlight=False, markup=False)
+        Console(highlight=False, markup=False).print(table)
+        return
+    text = io.StringIO()
+    Console(file=text, width=PIPE_WIDTH, highlight=False, markup=False).print(table)
+    for line in text.getvalue().splitlines():
+        print(line.rstrip())
 
 
 def print_json(value: Any) -> None:
@@ -35,7 +40,7 @@
     for row in rows:
         table.add_row(*(_cell(value) for value in row))
     print(f"{title}:")
-    _console().print(table)
+    _print(table)
 
 
 def write_document(document: dict[str, Any], output: str) -> None:
--- /dev/null
+++ b/src/jayvalve/internal/operator/status.py
@@ -0,0 +1,54 @@
+"""The state of a deployment, merged from the answers of its entries."""
+
+from collections import Counter
+from collections.abc import Sequence
+from typing import Any
+
+from jayvalve.internal.operator.fleet import FleetAnswers, fetch_all
+from jayvalve.internal.operator.rollout import instances
+
+__all__ = ["fetch_status", "merge_status"]
+
+
+def merge_status(fleet: FleetAnswers) -> dict[str, Any]:
+    """Return one document for the whole deployment.
+
+    Entries that did not answer are listed under missing; their programs and calls are not
+    counted. Of an endpoint's load, the report with the most calls is shown, since reports lag.
+    """
+    ranks: Counter[str] = Counter()
+    uncertain: list[dict[str, Any]] = []
+    calls = programs = 0
+    for status in fleet.answers.values():
+        ranks.update(status["programs_by_rank"])
+        uncertain += [{**call, "entry": status["instance"]} for call in status["may_have_run"]]
+        calls += status["calls"]
+        programs += status["programs"]
+    return {
+        "instances": list(instances(fleet).values()),
+        "endpoints": _endpoints(fleet),
+        "programs": programs,
+        "programs_by_rank": dict(ranks),
+        "calls": calls,
+        "may_have_run": sorted(uncertain, key=lambda call: call["ended_at"]),
+        "missing": fleet.missing,
+    }
+
+
+async def fetch_status(urls: Sequence[str]) -> dict[str, Any]:
+    """Ask all entries and return the merged document."""
+    return merge_status(await fetch_all(urls, "/status"))
+
+
+def _endpoints(fleet: FleetAnswers) -> list[dict[str, Any]]:
+    merged: dict[str, dict[str, Any]] = {}
+    for status in fleet.answers.values():
+        for endpoint in status["endpoints"]:
+            known = merged.setdefault(endpoint["name"], {**endpoint, "ejected_by": []})
+            for name in ("running", "waiting", "waiting_urgent"):
+                known[name] = max(known[name], endpoint[name])
+            if endpoint["state"] == "ejected":
+                known["ejected_by"].append(status["instance"])
+            elif known["state"] == "ejected":
+                known["state"] = endpoint["state"]
+    return [merged[name] for name in sorted(merged)]
--- /dev/null
+++ b/src/jayvalve/internal/operator/timelines.py
@@ -0,0 +1,177 @@
+"""What an entry keeps for operators about the calls of the programs that it owns."""
+
+from collections import Counter, OrderedDict, deque
+from typing import Any
+
+import attrs
+
+from jayvalve.internal.timing import Clock
+from jayvalve.verdict import Verdict
+
+__all__ = ["CallEntry", "ProgramTimelines", "UncertainCalls"]
+
+# Together about 10 MB at most, which leaves the larger part of the 128 MB for control state.
+MAX_PROGRAMS = 1024
+MAX_CALLS_PER_PROGRAM = 32
+MAX_UNCERTAIN_CALLS = 256
+
+
+@attrs.define
+class CallEntry:
+    """One call of a program.
+
+    Attributes:
+        turn: Number of the turn; 0 if the call got none.
+        endpoint: Endpoint of the last attempt; empty if there was none.
+        started_at: Unix time of the call's arrival at the owner.
+        seconds: Time from arrival to the end; None while the call is under way.
+        verdict: Verdict of the call; None while it is under way.
+        status: HTTP status of the answer, or of the error.
+        code: Code of the error; empty after an answer.
+    """
+
+    agent: str
+    request_id: str
+    rank: str
+    capability: str
+    turn: int
+    started_at: float
+    endpoint: str = ""
+    attempts: int = 0
+    seconds: float | None = None
+    verdict: str | None = None
+    status: int = 0
+    code: str = ""
+
+
+@attrs.define
+class _Timeline:
+    calls: deque[CallEntry] = attrs.field(factory=lambda: deque(maxlen=MAX_CALLS_PER_PROGRAM))
+    rank: str = "ordinary"
+    state: str = "active"
+    first_call_s: float = 0.0
+    last_end_s: float | None = None
+    seen_from_start: bool = False
+    total: int = 0
+
+
+class ProgramTimelines:
+    """The latest calls of each program; the program used longest ago is dropped first."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._timelines: OrderedDict[str, _Timeline] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._timelines)
+
+    def add(self, key: str, entry: CallEntry, is_new: bool) -> None:
+        """Add a call that starts now.
+
+        Args:
+            key: Key of the root program.
+            entry: The call.
+            is_new: Whether the program had no call before, here or at an earlier owner.
+        """
+        timeline = self._timelines.get(key)
+        if timeline is None or timeline.state == "ended":
+            timeline = _Timeline(first_call_s=self._clock.now(), seen_from_start=is_new)
+            self._timelines[key] = timeline
+        timeline.calls.append(entry)
+        timeline.total += 1
+        timeline.rank = entry.rank
+        self._timelines.move_to_end(key)
+        while len(self._timelines) > MAX_PROGRAMS:
+            self._timelines.popitem(last=False)
+
+    def note_end(self, key: str) -> None:
+        """Record that a call of the program ended now."""
+        timeline = self._timelines.get(key)
+        if timeline is not None:
+            timeline.last_end_s = self._clock.now()
+
+    def end(self, key: str) -> tuple[str, float] | None:
+        """End a program and return its rank and its latency in seconds.
+
+        The latency runs from the arrival of the first call to the end of the last one. It is
+        None for a program that had calls at an earlier owner.
+        """
+        timeline = self._timelines.get(key)
+        if timeline is None or timeline.state == "ended":
+            return None
+        timeline.state = "ended"
+        if not timeline.seen_from_start or timeline.last_end_s is None:
+            return None
+        return timeline.rank, timeline.last_end_s - timeline.first_call_s
+
+    def forget(self, key: str) -> None:
+        """Drop a program that another entry owns now."""
+        timeline = self._timelines.get(key)
+        if timeline is not None and timeline.state != "ended":
+            del self._timelines[key]
+
+    def by_rank(self) -> dict[str, int]:
+        """Return the number of active programs by the rank of their latest call."""
+        active = (item for item in self._timelines.values() if item.state == "active")
+        return dict(Counter(item.rank for item in active))
+
+    def find(self, name: str, organisation: str | None) -> list[dict[str, Any]]:
+        """Return the timelines of the programs of that name as JSON objects."""
+        root = name.split(".", 1)[0]
+        found = []
+        for key, timeline in self._timelines.items():
+            owner, _, program = key.partition("/")
+            if program == root and organisation in (None, owner):
+                found.append(self._document(owner, name, root, timeline))
+        return found
+
+    def _document(
+        self, organisation: str, name: str, root: str, timeline: _Timeline
+    ) -> dict[str, Any]:
+        agents = (name,) if name != root else ()
+        calls = [
+            attrs.asdict(call) for call in timeline.calls if not agents or call.agent in agents
+        ]
+        return {
+            "organisation": organisation,
+            "program": name,
+            "state": timeline.state,
+            "rank": timeline.rank,
+            "calls_in_all": timeline.total,
+            "calls": calls,
+        }
+
+
+class UncertainCalls:
+    """Calls that ended with the verdict may have run and were not resolved since."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._calls: OrderedDict[tuple[str, str], dict[str, Any]] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._calls)
+
+    def observe(
+        self, organisation: str, program: str, key: str | None, entry: CallEntry, verdict: str
+    ) -> None:
+        """Take note of a call's end; a repeat with a known verdict resolves the call."""
+        name = (organisation, f"key {key}" if key is not None else f"request {entry.request_id}")
+        self._calls.pop(name, None)
+        if verdict != Verdict.MAY_HAVE_RUN:
+            return
+        self._calls[name] = {
+            "organisation": organisation,
+            "program": program,
+            "key": key,
+            "request_id": entry.request_id,
+            "endpoint": entry.endpoint,
+            "code": entry.code,
+            "ended_at": self._clock.wall(),
+        }
+        while len(self._calls) > MAX_UNCERTAIN_CALLS:
+            self._calls.popitem(last=False)
+
+    def as_list(self) -> list[dict[str, Any]]:
+        """Return the calls, oldest first, as JSON objects."""
+        return list(self._calls.values())
--- a/tests/cover/test_operator_config.py
+++ b/tests/cover/test_operator_config.py
@@ -1,23 +1,17 @@
 """Checks of the commands under ``jayvalve config``."""
 
-import asyncio
-import contextlib
-import io
 import json
 import pathlib
-import sys
 import tempfile
-import threading
 from unittest import mock
 
 from testtools import TestCase
 
-from jayvalve import cli
 from jayvalve.errors import InvalidSettingsError
 from jayvalve.internal.operator.fleet import FleetAnswers
 from jayvalve.internal.operator.inventory_import import ColumnMapping, import_inventory
 from jayvalve.internal.operator.rollout import rollout_state
-from jayvalve.standins import STAND_INS
+from tests.operator_support import LogThread, run_cli
 
 MAPPING = {
     "columns": {
@@ -144,44 +138,6 @@
         self.assertFalse(self._state(missing={"http://e1": "refused"}).complete)
 
 
-class LogThread:
-    """Runs the log stand-in beside the synchronous command line."""
-
-    def __enter__(self):
-        self._loop = asyncio.new_event_loop()
-        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
-        self._thread.start()
-        self._log = STAND_INS.get("log").from_config({})
-        port = self._run(self._log.start("127.0.0.1", 0))
-        self.url = f"http://127.0.0.1:{port}"
-        return self
-
-    def __exit__(self, *exception):
-        self._run(self._log.stop())
-        self._loop.call_soon_threadsafe(self._loop.stop)
-        self._thread.join()
-        self._loop.close()
-
-    def _run(self, coroutine):
-        return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(10)
-
-
-def run_cli(*arguments):
-    """Return exit code, standard output and standard error of one command."""
-    output, errors = io.StringIO(), io.StringIO()
-    code = 0
-    with (
-        mock.patch.object(sys, "argv", ["jayvalve", *map(str, arguments)]),
-        contextlib.redirect_stdout(output),
-        contextlib.redirect_stderr(errors),
-    ):
-        try:
-            cli.main()
-        except SystemExit as stop:
-            code = stop.code or 0
-    return code, output.getvalue(), errors.getvalue()
-
-
 class ConfigCommandTest(TestCase):
     """Guards exit codes, the one error line, and the refusal of a publish that lost a race."""
 
--- /dev/null
+++ b/tests/cover/test_operator_run.py
@@ -0,0 +1,217 @@
+"""Checks of status, programs, keys and settle against a running deployment."""
+
+import asyncio
+import json
+import uuid
+
+from testtools import TestCase
+
+from jayvalve.errors import MayHaveRunError
+from jayvalve.internal.claims import ClaimRelays
+from jayvalve.internal.log import LogClient
+from jayvalve.internal.operator import timelines
+from jayvalve.internal.operator.timelines import CallEntry, ProgramTimelines, UncertainCalls
+from jayvalve.internal.timing import Clock, Deadline, ManualClock
+from jayvalve.internal.wire.messages import ClaimRequest, OutcomeReport
+from tests.operator_support import DeploymentThread, request, run_cli
+
+NOWHERE = "http://127.0.0.1:9"
+
+
+def _entry(request_id="r", rank="ordinary"):
+    return CallEntry("p", request_id, rank, "chem", 1, 0.0)
+
+
+class TimelineTest(TestCase):
+    """Guards the bounds of the timelines and the measured program latency."""
+
+    def test_calls_and_programs_are_bounded_and_the_oldest_go_first(self):
+        table = ProgramTimelines(ManualClock())
+        for number in range(timelines.MAX_CALLS_PER_PROGRAM + 5):
+            table.add("org/p", _entry(f"r{number}"), number == 0)
+        (shown,) = table.find("p", None)
+        self.assertEqual(timelines.MAX_CALLS_PER_PROGRAM, len(shown["calls"]))
+        self.assertEqual("r5", shown["calls"][0]["request_id"])
+        self.assertEqual(timelines.MAX_CALLS_PER_PROGRAM + 5, shown["calls_in_all"])
+        for number in range(timelines.MAX_PROGRAMS):
+            table.add(f"org/q{number}", _entry(), True)
+        self.assertEqual(timelines.MAX_PROGRAMS, len(table))
+        self.assertEqual([], table.find("p", None))
+
+    def test_latency_runs_from_the_first_call_to_the_end_of_the_last(self):
+        clock = ManualClock(10.0)
+        table = ProgramTimelines(clock)
+        table.add("org/p", _entry(), True)
+        clock.advance(3.0)
+        table.add("org/p", _entry(rank="urgent"), False)
+        clock.advance(1.5)
+        table.note_end("org/p")
+        clock.advance(900.0)
+        self.assertEqual(("urgent", 4.5), table.end("org/p"))
+        self.assertEqual({}, table.by_rank())
+
+    def test_program_that_began_elsewhere_gives_no_latency(self):
+        table = ProgramTimelines(ManualClock())
+        table.add("org/p", _entry(), False)
+        table.note_end("org/p")
+        self.assertIsNone(table.end("org/p"))
+
+    def test_uncertain_call_is_resolved_by_a_repeat_with_a_known_verdict(self):
+        calls = UncertainCalls(ManualClock())
+        calls.observe("org", "p", "k", _entry("r1"), "may_have_run")
+        calls.observe("org", "p", None, _entry("r2"), "may_have_run")
+        self.assertEqual(["k", None], [call["key"] for call in calls.as_list()])
+        calls.observe("org", "p", "k", _entry("r3"), "ran")
+        self.assertEqual(["r2"], [call["request_id"] for call in calls.as_list()])
+
+
+class RunCommandTest(TestCase):
+    """Guards what the commands show of a deployment that serves calls."""
+
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        cls.local = cls.enterClassContext(DeploymentThread())
+        cls.entries = ",".join(cls.local.urls)
+
+    def _chat(self, program, **headers):
+        body = {
+            "model": "tank-chemistry",
+            "messages": [{"role": "user", "content": "pH of tank 4?"}],
+            "max_tokens": 4,
+        }
+        status, answer, _ = request(
+            f"{self.local.urls[0]}/v1/chat/completions",
+            body,
+            Jayvalve_Program=program,
+            **headers,
+        )
+        self.assertEqual(200, status)
+        return answer
+
+    def _claim(self, key, verdict=None):
+        """Put a claim, and an outcome if a verdict is given, into the log."""
+
+        async def run():
+            log = LogClient(self.local.log_url)
+            relays = ClaimRelays(log, 86_400.0)
+            claim_id, deadline = uuid.uuid4().hex, Deadline.after(Clock(), 10.0)
+            try:
+                await relays.claim(
+                    ClaimRequest(claim_id, "default", key, "d", "1-1", "service-1", 1, 1, 0.0),
+                    deadline,
+                )
+                if verdict is not None:
+                    report = OutcomeReport(claim_id, "default", key, "1-1", verdict, 0, {}, b"")
+                    await relays.report_outcome(report, deadline)
+            finally:
+                await relays.close()
+                log.close()
+
+        asyncio.run(run())
+
+    def _settle(self, key, verdict):
+        return run_cli(
+            "settle",
+            key,
+            "--organisation",
+            "default",
+            "--verdict",
+            verdict,
+            "--author",
+            "anna",
+            "--reason",
+            "asked the depot #7",
+            "--log",
+            self.local.log_url,
+        )
+
+    def test_status_shows_all_parts_and_names_entries_that_are_down(self):
+        self._chat("status-1", Jayvalve_Rank="urgent")
+        code, text, _ = run_cli("status", "--entries", f"{self.entries},{NOWHERE}")
+        self.assertEqual(0, code)
+        self.assertIn(f"{NOWHERE} did not answer", text)
+        self.assertRegex(text, r"entry-catania +entry +catania +live +1\n")
+        self.assertRegex(text, r"sidecar-engine-1 +sidecar +catania +live +1\n")
+        self.assertRegex(text, r"engine-1 +catania +live +\d+ +\d+ +\d+ +-")
+        self.assertRegex(text, r"programs: \d+ \([1-9]\d* urgent, \d+ ordinary\)")
+        code, text, _ = run_cli("status", "--entries", self.entries, "--json")
+        document = json.loads(text)
+        self.assertEqual(12, len(document["instances"]))
+        self.assertEqual(9, len(document["endpoints"]))
+        self.assertEqual({}, document["missing"])
+
+    def test_status_without_any_entry_fails(self):
+        code, text, _ = run_cli("status", "--entries", NOWHERE)
+        self.assertEqual(1, code)
+        self.assertIn("did not answer", text)
+
+    def test_status_shows_calls_that_may_have_run(self):
+        entry = self.local.deployment.entries[1]
+
+        async def fail():
+            from jayvalve.internal.entry.request import CallRequest
+
+            call = CallRequest.from_parts(
+                "POST",
+                "/v1/services/deliveries/bookings",
+                {"Idempotency-Key": "k-9"},
+                b"{}",
+                "default",
+            )
+            observation = entry._observer.begin(call, None, False)
+            observation.note_failure(MayHaveRunError("the sidecar is gone"))
+
+        self.local.run(fail())
+        _, text, _ = run_cli("status", "--entries", self.entries)
+        self.assertRegex(text, r"calls that may have run:\n.*\ndefault .* k-9 .* may_have_run")
+
+    def test_program_timeline_names_place_duration_and_verdict(self):
+        answers = [self._chat("timeline-1", Jayvalve_Rank="urgent") for _ in range(2)]
+        code, text, _ = run_cli(
+            "programs", "show", "timeline-1", "--entries", self.entries, "--json"
+        )
+        self.assertEqual(0, code)
+        (shown,) = json.loads(text)["programs"]
+        self.assertEqual([1, 2], [call["turn"] for call in shown["calls"]])
+        self.assertEqual(["1", "2"], [answer["Jayvalve-Turn"] for answer in answers])
+        for call in shown["calls"]:
+            self.assertRegex(call["endpoint"], "^engine-")
+            self.assertEqual(("ran", 200), (call["verdict"], call["status"]))
+            self.assertGreater(call["seconds"], 0.0)
+        code, text, _ = run_cli("programs", "show", "timeline-1", "--entries", self.entries)
+        self.assertRegex(text, r"timeline-1 +2 +tank-chemistry +engine-\d +1 +\d\.\d{3} +ran")
+        code, _, errors = run_cli("programs", "show", "nobody", "--entries", self.entries)
+        self.assertEqual(1, code)
+        self.assertRegex(errors, "^jayvalve: program_unknown: ")
+
+    def test_settle_records_a_verdict_that_every_entry_follows(self):
+        self._claim("charge-1", "may_have_run")
+        code, text, _ = run_cli("keys", "show", "charge-1", "--log", self.local.log_url)
+        self.assertRegex(text, "(?m)^verdict: may_have_run$")
+        code, text, errors = self._settle("charge-1", "not_run")
+        self.assertEqual((0, ""), (code, errors))
+        self.assertRegex(text, "(?m)^verdict: not_run$")
+        for url in self.local.urls:
+            _, _, body = request(f"{url}/v1/keys/charge-1")
+            self.assertEqual("not_run", json.loads(body)["verdict"])
+        code, _, errors = self._settle("charge-1", "ran")
+        self.assertEqual(1, code)
+        self.assertRegex(errors, "^jayvalve: settle_refused: .* not_run already")
+
+    def test_settle_of_an_open_claim_and_wrong_input(self):
+        self._claim("007")
+        code, text, _ = run_cli("keys", "show", "007", "--log", self.local.log_url)
+        self.assertRegex(text, "(?m)^key: 007$")
+        self.assertRegex(text, "(?m)^state: held$")
+        self.assertEqual(0, self._settle("007", "ran")[0])
+        self.assertEqual(2, self._settle("never-used", "ran")[0])
+        self.assertEqual(2, self._settle("007", "perhaps")[0])
+
+    def test_wait_returns_once_all_live_instances_have_the_version(self):
+        code, text, _ = run_cli("config", "wait", 1, "--entries", self.entries)
+        self.assertEqual(0, code)
+        self.assertIn("version 1: 12 of 12 live instances have it", text)
+        code, text, _ = run_cli("config", "wait", 2, "--entries", self.entries, "--timeout", 0.3)
+        self.assertEqual(1, code)
+        self.assertIn("sidecar-engine-1 has version 1", text)
