--- a/src/jayvalve/internal/entry/app.py
+++ b/src/jayvalve/internal/entry/app.py
@@ -36,11 +36,13 @@
     ModelsHandler,
     ProgramQueryHandler,
     StatusHandler,
+    TimelineHandler,
 )
 from jayvalve.internal.entry.service import EntryService
 from jayvalve.internal.limits import OutlierDetector, RetryBudget, RetryPolicy
 from jayvalve.internal.log import LogClient
-from jayvalve.internal.membership import HeartbeatSource, MemberChange
+from jayvalve.internal.membership import HeartbeatSource, Member, MemberChange
+from jayvalve.internal.operator.observer import CallObserver
 from jayvalve.internal.placement import PlacementRunner
 from jayvalve.internal.programs import CopyStore, OwnershipTable, ProgramId
 from jayvalve.internal.programs.handlers import register_copies
@@ -67,6 +69,8 @@
 # Seeds and sidecars that do not answer for this time after the start are taken to be gone.
 SETTLE_LIMIT_S = 6.0
 DEFAULT_RULES = Rules()
+# The target has about 1,000 instances; names that have gone are dropped above this number.
+MAX_PEER_VERSIONS = 2048
 
 
 class EntryProcess:
@@ -81,6 +85,8 @@
         self._tokens = TokenTable(settings.callers)
         self._created_s = self._clock.now()
         self._settled = False
+        # Highest configuration version that each instance has sent, with its incarnation.
+        self._peer_versions: dict[str, tuple[int, int]] = {}
         self._log = LogClient(settings.log_url) if settings.log_url else None
         self._build_configuration()
         self._build_programs()
@@ -175,6 +181,7 @@
                 runtime.spawn,
                 self._clock,
             )
+        self._observer = CallObserver(self._clock)
         tools = ExecutionTools(
             self._clock,
             self._directory,
@@ -183,6 +190,7 @@
             self._claims,
             runtime.metrics,
             AttemptIds(runtime.identity.incarnation),
+            self._observer,
         )
         self._calls = ProgramCalls(self._table, tools, runtime.spawn, self._budget_rule)
         self._service = EntryService(
@@ -262,12 +270,14 @@
             "programs": len(self._table.programs),
             "calls": self._calls.running,
             "copy_bytes": self._copies.bytes_held,
+            **self._observer.status(),
             "members": [
                 {
                     "instance": member.instance,
                     "role": member.role,
                     "data_centre": member.data_centre,
                     "state": str(member.state),
+                    "configuration_version": self._version_of(member),
                 }
                 for member in view.members()
             ],
@@ -278,6 +288,7 @@
                     "state": str(endpoint.state),
                     "running": endpoint.load.running,
                     "waiting": endpoint.load.waiting,
+                    "waiting_urgent": endpoint.load.waiting_urgent,
                 }
                 for endpoint in self._directory.views()
             ],
@@ -306,10 +317,17 @@
                 ("/healthz", HealthHandler, {"state": self._health}),
                 ("/metrics", MetricsHandler, {"metrics": self._runtime.metrics}),
                 ("/status", StatusHandler, {"status": self.status}),
+                ("/slo", StatusHandler, {"status": self._slo}),
+                ("/programs/([^/]+)", TimelineHandler, {"find": self._observer.timelines.find}),
             ],
             log_function=lambda handler: None,
         )
 
+    def _slo(self) -> dict[str, Any]:
+        return self._observer.slo_document(
+            self._settings.instance, self.rules, self._configuration.version
+        )
+
     def _health(self) -> str:
         if self._runtime.state == "live" and self._configuration.version == 0:
             return "starting"
@@ -389,6 +407,11 @@
 
     def _on_heartbeat(self, peer: Hello, heartbeat: Heartbeat) -> None:
         self._sync.observe(peer, heartbeat)
+        seen = (peer.incarnation, heartbeat.configuration_version)
+        self._peer_versions[peer.instance] = max(seen, self._peer_versions.get(peer.instance, seen))
+        if len(self._peer_versions) > MAX_PEER_VERSIONS:
+            known = {member.instance for member in self._runtime.view.members()}
+            self._peer_versions = {k: v for k, v in self._peer_versions.items() if k in known}
         if heartbeat.load:
             member = self._runtime.view.get(peer.instance)
             name = self._directory.endpoint_of(member) if member is not None else None
@@ -398,6 +421,11 @@
     def _on_configuration(self, version: int, document: Document) -> None:
         self._directory.set_document(document)
 
+    def _version_of(self, member: Member) -> int:
+        """Return the version that an instance was last seen with; 0 if it sent none yet."""
+        incarnation, version = self._peer_versions.get(member.instance, (0, 0))
+        return version if incarnation == member.incarnation else 0
+
     def _on_member_change(self, change: MemberChange) -> None:
         if self._relays is not None and change.member.role == ROLE:
             self._relays.prepare(self._settings.instance, sorted(self._entries()))
