--- /dev/null
+++ b/src/jayvalve/internal/measure/recovery.py
@@ -0,0 +1,187 @@
+"""Time from an owner's SIGKILL to the next served turn of its programs.
+
+Call ``python -m jayvalve.internal.measure.recovery [--programs N] [--seconds S]``. It runs
+the process deployment on loopback and prints one JSON document.
+"""
+
+import asyncio
+import itertools
+import json
+import pathlib
+import tempfile
+import time
+from typing import Any
+
+import attrs
+import fire
+from hdrh.histogram import HdrHistogram
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError
+
+from jayvalve.deployments import DEPLOYMENTS, Deployment
+from jayvalve.deployments.processes import ProcessDeployment
+from jayvalve.errors import InternalError
+from jayvalve.internal.hashing import rendezvous_order
+from jayvalve.internal.validation import check_range
+
+__all__ = ["RecoveryResult", "measure_recovery"]
+
+DEFAULT_SECONDS = 60.0
+MAX_PROGRAMS = 200
+# Starting a round needs the replaced entry to be ready again, which took 2 to 6 s in trials.
+ROUND_RESERVE_S = 12.0
+REPEAT_INTERVAL_S = 0.05
+REQUEST_TIMEOUT_S = 20.0
+TURN_LIMIT_S = 20.0
+MAX_CLIENTS = 400
+ORGANISATION = "default"
+LONGEST_MS = 60_000
+SIGNIFICANT_DIGITS = 3
+
+
+@attrs.frozen
+class RecoveryResult:
+    """Times in milliseconds over all programs of all rounds.
+
+    Attributes:
+        undisturbed_p50_ms: Median of the turns before each kill, the baseline of the same run.
+        unserved: Turns that were not served within TURN_LIMIT_S; they count in no quantile.
+    """
+
+    programs: int
+    rounds: int
+    samples: int
+    unserved: int
+    undisturbed_p50_ms: float
+    p50_ms: float
+    p95_ms: float
+    maximum_ms: float
+
+
+class _Run:
+    """Rounds of one deployment: turns, a kill, the same programs' next turns, a respawn."""
+
+    def __init__(self, plan: Deployment, directory: pathlib.Path, programs: int) -> None:
+        self._plan = plan
+        self._processes = ProcessDeployment(plan, directory)
+        self._programs = programs
+        self._client = AsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+        self._undisturbed = HdrHistogram(1, LONGEST_MS, SIGNIFICANT_DIGITS)
+        self._recovered = HdrHistogram(1, LONGEST_MS, SIGNIFICANT_DIGITS)
+        self._unserved = 0
+
+    async def run(self, end_s: float) -> RecoveryResult:
+        """Run rounds until the time is over; at least one."""
+        try:
+            await self._processes.start()
+            rounds = 0
+            for number in itertools.count():
+                await self._round(number)
+                rounds += 1
+                if time.monotonic() + ROUND_RESERVE_S > end_s:
+                    break
+            return self._result(rounds)
+        finally:
+            self._client.close()
+            self._processes.close()
+
+    async def _round(self, number: int) -> None:
+        entries = self._processes.entry_names
+        owner = entries[number % len(entries)]
+        others = [name for name in entries if name != owner]
+        programs = self._owned_by(owner, number)
+        await asyncio.gather(*(self._turn(name, 1, [owner], None) for name in programs))
+        await asyncio.gather(*(self._turn(name, 2, others, None) for name in programs))
+        self._processes.kill(owner)
+        killed_s = time.monotonic()
+        await asyncio.gather(*(self._turn(name, 3, others, killed_s) for name in programs))
+        self._processes.spawn(owner)
+        for entry in entries:
+            await self._processes.wait_ready(entry)
+
+    def _owned_by(self, owner: str, number: int) -> list[str]:
+        """Return program names whose rendezvous owner is the entry."""
+        entries = self._processes.entry_names
+        names = (f"recovery-{number}-{index}" for index in itertools.count())
+        owned = (
+            name
+            for name in names
+            if rendezvous_order(f"{ORGANISATION}/{name}", entries)[0] == owner
+        )
+        return list(itertools.islice(owned, self._programs))
+
+    async def _turn(
+        self, program: str, turn: int, entries: list[str], killed_s: float | None
+    ) -> None:
+        """Repeat one turn until it is served and record its time."""
+        started_s = time.monotonic() if killed_s is None else killed_s
+        for entry in itertools.cycle(entries):
+            if await self._is_served(program, turn, entry):
+                break
+            if time.monotonic() - started_s > TURN_LIMIT_S:
+                if killed_s is None:
+                    raise InternalError(f"turn {turn} of {program} was not served before the kill")
+                self._unserved += 1
+                return
+            await asyncio.sleep(REPEAT_INTERVAL_S)
+        elapsed_ms = max(1, round((time.monotonic() - started_s) * 1000))
+        if killed_s is not None:
+            self._recovered.record_value(elapsed_ms)
+        elif turn > 1:
+            self._undisturbed.record_value(elapsed_ms)
+
+    async def _is_served(self, program: str, turn: int, entry: str) -> bool:
+        body = {
+            "model": self._plan.ordinary_model,
+            "messages": [{"role": "user", "content": f"question {turn}"}],
+            "max_tokens": 1,
+        }
+        headers = {
+            "Jayvalve-Program": program,
+            "Jayvalve-Turn": str(turn),
+            "Jayvalve-Request": f"{program}-{turn}",
+            "Jayvalve-History": "append",
+        }
+        try:
+            response = await self._client.fetch(
+                f"{self._processes.url(entry)}/v1/chat/completions",
+                method="POST",
+                headers=headers,
+                body=json.dumps(body),
+                request_timeout=REQUEST_TIMEOUT_S,
+                raise_error=False,
+            )
+        except (OSError, HTTPClientError):
+            return False
+        return response.code == 200
+
+    def _result(self, rounds: int) -> RecoveryResult:
+        recovered = self._recovered
+        return RecoveryResult(
+            self._programs,
+            rounds,
+            recovered.get_total_count(),
+            self._unserved,
+            float(self._undisturbed.get_value_at_percentile(50)),
+            float(recovered.get_value_at_percentile(50)),
+            float(recovered.get_value_at_percentile(95)),
+            float(recovered.get_max_value()),
+        )
+
+
+async def measure_recovery(
+    programs: int, seconds: float = DEFAULT_SECONDS, deployment: str = "acquaviva"
+) -> RecoveryResult:
+    """Measure with so many programs on the owner; rounds start for at most so many seconds."""
+    check_range(programs, "programs", 1, MAX_PROGRAMS)
+    end_s = time.monotonic() + seconds
+    with tempfile.TemporaryDirectory() as directory:
+        run = _Run(DEPLOYMENTS.get(deployment), pathlib.Path(directory), programs)
+        return await run.run(end_s)
+
+
+def _main(programs: int = 1, seconds: float = DEFAULT_SECONDS) -> dict[str, Any]:
+    return attrs.asdict(asyncio.run(measure_recovery(programs, seconds)))
+
+
+if __name__ == "__main__":
+    fire.Fire(_main)
--- /dev/null
+++ b/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""A small test language for scenarios over separate processes."""
--- /dev/null
+++ b/tests/scenarios/caller.py
@@ -0,0 +1,156 @@
+"""Callers of a deployment: one request at a time, repeated through other entries if asked."""
+
+import asyncio
+import json
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import attrs
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+
+__all__ = ["BROKEN", "Caller", "Reply", "Request", "fetch_json"]
+
+BROKEN = "broken"
+REPEAT_INTERVAL_S = 0.2
+MAX_CLIENTS = 200
+STREAM_END = b"data: [DONE]\n\n"
+
+
+@attrs.frozen
+class Request:
+    """A caller's request; a repeat is the same object sent again."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: dict[str, Any] | None = None
+
+    @property
+    def streamed(self) -> bool:
+        """Whether the answer comes as server-sent events."""
+        return bool(self.body and self.body.get("stream"))
+
+
+@attrs.frozen
+class Reply:
+    """What a caller received: a status, or "broken" if the answer is not whole."""
+
+    status: int | str
+    headers: dict[str, str] = attrs.field(factory=dict)
+    body: bytes = b""
+
+    @property
+    def document(self) -> dict[str, Any]:
+        """The body as JSON; empty if it is none."""
+        try:
+            value = json.loads(self.body)
+        except ValueError:
+            return {}
+        return value if isinstance(value, dict) else {}
+
+    @property
+    def code(self) -> str | None:
+        """Code of an error answer."""
+        return self.document.get("error", {}).get("code")
+
+    @property
+    def verdict(self) -> str | None:
+        """Verdict that the answer states."""
+        return self.headers.get("Jayvalve-Verdict")
+
+    @property
+    def text(self) -> str:
+        """The model's text, whole or gathered from the events."""
+        if not self.body.startswith(b"data: "):
+            choices = self.document.get("choices") or [{}]
+            return choices[0].get("message", {}).get("content", "")
+        found = []
+        for line in self.body.split(b"\n"):
+            if line.startswith(b"data: {"):
+                for choice in json.loads(line[6:]).get("choices") or []:
+                    found.append((choice.get("delta") or {}).get("content") or "")
+        return "".join(found)
+
+
+class Caller:
+    """Sends requests to entries.
+
+    Args:
+        url: Returns the base URL of an entry.
+        entries: Returns the names of the entries that run.
+        record: Receives each request with its reply.
+    """
+
+    def __init__(
+        self,
+        url: Callable[[str], str],
+        entries: Callable[[], Iterable[str]],
+        record: Callable[[Request, Reply], None],
+    ) -> None:
+        self._url = url
+        self._entries = entries
+        self._record = record
+        self._client = AsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
+    async def send(self, entry: str, request: Request, patience_s: float) -> Reply:
+        """Send a request once; "broken" stands for a lost connection and a cut answer."""
+        received: list[bytes] = []
+        options: dict[str, Any] = {"streaming_callback": received.append}
+        try:
+            response = await self._client.fetch(
+                HTTPRequest(
+                    self._url(entry) + request.path,
+                    method=request.method,
+                    headers=request.headers,
+                    body=None if request.body is None else json.dumps(request.body),
+                    request_timeout=patience_s,
+                    allow_nonstandard_methods=True,
+                    **(options if request.streamed else {}),
+                ),
+                raise_error=False,
+            )
+            reply = _whole(request, response, b"".join(received))
+        except (OSError, HTTPClientError):
+            reply = Reply(BROKEN, {}, b"".join(received))
+        self._record(request, reply)
+        return reply
+
+    async def send_until(
+        self,
+        entry: str,
+        request: Request,
+        wanted: Iterable[int | str],
+        limit_s: float,
+        **named: Any,
+    ) -> Reply:
+        """Repeat a request through the running entries in turn until a wanted status."""
+        end_s = time.monotonic() + limit_s
+        number = 0
+        while True:
+            reply = await self.send(entry, request, **named)
+            if reply.status in wanted or time.monotonic() >= end_s:
+                return reply
+            await asyncio.sleep(REPEAT_INTERVAL_S)
+            running = list(self._entries())
+            entry = running[number % len(running)]
+            number += 1
+
+
+def _whole(request: Request, response: Any, received: bytes) -> Reply:
+    body = received or response.body or b""
+    if response.code == 599:
+        return Reply(BROKEN, {}, body)
+    headers = dict(response.headers.get_all())
+    is_cut = request.streamed and response.code == 200 and not body.endswith(STREAM_END)
+    return Reply(BROKEN if is_cut else response.code, headers, body)
+
+
+async def fetch_json(url: str, timeout_s: float = 5.0) -> dict[str, Any]:
+    """Return a JSON document of a stand-in, entry or sidecar."""
+    response = await AsyncHTTPClient().fetch(url, request_timeout=timeout_s)
+    return json.loads(response.body)
--- /dev/null
+++ b/tests/scenarios/expectations.py
@@ -0,0 +1,124 @@
+"""Checks that a scenario states, and the check of all changes at its end."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from jayvalve.standins.answers import answer_tokens
+from tests.scenarios.caller import Request
+from tests.scenarios.world import World
+
+__all__ = ["EXPECTATIONS", "check_changes"]
+
+POLL_S = 0.1
+QUERY_LIMIT_S = 15.0
+# Longer than the services' delay in any scenario, so that a second run would have ended.
+SETTLE_S = 2.0
+
+EXPECTATIONS: dict[str, Callable[..., Awaitable[None]]] = {}
+
+
+def _expectation(function: Callable[..., Awaitable[None]]) -> Callable[..., Awaitable[None]]:
+    EXPECTATIONS[function.__name__] = function
+    return function
+
+
+@_expectation
+async def expect_runs(world: World, key: str, count: int) -> None:
+    """Check that a key ran exactly so often."""
+    runs = await world.runs(key)
+    assert runs == count, f"{key} ran {runs} times, expected {count}"
+
+
+@_expectation
+async def expect_runs_at(world: World, endpoint: str, count: int) -> None:
+    """Check the number of changes at an endpoint; a sidecar's name stands for it."""
+    name = world.resolve(endpoint).removeprefix("sidecar-")
+    runs = await world.runs(endpoint=name)
+    assert runs == count, f"{name} ran {runs} changes, expected {count}"
+
+
+@_expectation
+async def expect_history(world: World, program: str, *says: str) -> None:
+    """Check that a history has these questions, each with the answer that its prefix gives.
+
+    The stand-in's answer depends on all messages before it, so a lost, repeated, exchanged
+    or foreign message changes every later answer.
+    """
+    turns = world.turns[program]
+    assert [turns[number].says for number in sorted(turns)] == list(says), turns
+    expected: list[dict[str, Any]] = []
+    for number in sorted(turns):
+        turn = turns[number]
+        expected.append({"role": "user", "content": turn.says})
+        text = " ".join(answer_tokens(expected, turn.max_tokens))
+        assert turn.text in (text, text + " "), f"{program} {number}: {turn.text!r}, not {text!r}"
+        expected.append({"role": "assistant", "content": turn.text})
+    entry = world.running_entries()[0]
+    request = Request("GET", f"/v1/programs/{program}/history", {})
+    reply = await world.caller.send_until(entry, request, (200,), QUERY_LIMIT_S, patience_s=10.0)
+    found = reply.document.get("messages")
+    assert found == expected, f"history of {program} is {reply}, expected {expected}"
+
+
+@_expectation
+async def expect_version(world: World, version: int, seconds: float) -> None:
+    """Check that a version is in force at every running process in time."""
+    end_s = time.monotonic() + seconds
+    behind = set(world.running())
+    while behind:
+        for name in sorted(behind):
+            status = await world.deployment.status(name)
+            found = status["configuration_version"]
+            assert found <= version, f"{name} has version {found}, the log only {version}"
+            if found == version:
+                behind.discard(name)
+        assert not behind or time.monotonic() < end_s, f"{sorted(behind)} lack version {version}"
+        await asyncio.sleep(POLL_S)
+
+
+@_expectation
+async def expect_freed(world: World, program: str, seconds: float) -> None:
+    """Check that no engine holds memory of a program any more, in time."""
+    end_s = time.monotonic() + seconds
+    while held := await world.held_tokens(program):
+        assert time.monotonic() < end_s, f"engines hold {held} tokens of {program}"
+        await asyncio.sleep(POLL_S)
+
+
+@_expectation
+async def expect_held(world: World, program: str) -> None:
+    """Check that an engine holds memory of a program, so that its release can be seen."""
+    assert await world.held_tokens(program), f"no engine holds memory of {program}"
+
+
+@_expectation
+async def expect_calls(world: World, program: str, count: int) -> None:
+    """Check the number of calls that the owner has charged to a program's budget."""
+    agent = (await world.program(program))["agents"][program]
+    assert agent["budget"]["used"]["calls"] == count, agent
+
+
+@_expectation
+async def expect_transcript(world: World, name: str) -> None:
+    """Compare all requests and answers so far with a golden file."""
+    difference = world.transcript.difference(name)
+    assert not difference, f"the session differs from its golden file:\n{difference}"
+
+
+async def check_changes(world: World) -> None:
+    """Check each key: at most one run, one if an answer said so, none if all said not run."""
+    if not world.changes:
+        return
+    await asyncio.sleep(SETTLE_S)
+    for key, exchanges in world.changes.items():
+        runs = await world.runs(key)
+        replies = [reply for _, reply in exchanges]
+        assert runs <= 1, f"{key} ran {runs} times: {replies}"
+        bodies = {reply.body for reply in replies if reply.status == 201}
+        assert len(bodies) <= 1, f"{key} has several answers: {bodies}"
+        if bodies:
+            assert runs == 1, f"{key} was answered and did not run: {replies}"
+        elif all(reply.verdict == "not_run" for reply in replies):
+            assert runs == 0, f"{key} ran although every answer says not run: {replies}"
--- /dev/null
+++ b/tests/scenarios/interpreter.py
@@ -0,0 +1,265 @@
+"""Runs the steps of a scenario."""
+
+import asyncio
+import pathlib
+from typing import Any
+
+import attrs
+from lark import Tree
+
+from jayvalve.deployments import DEPLOYMENTS, publish_document
+from jayvalve.deployments.definitions import ENGINE_SETTINGS
+from jayvalve.deployments.processes import ProcessDeployment
+from jayvalve.errors import PublishConflictError
+from tests.scenarios.caller import BROKEN, Reply, Request
+from tests.scenarios.expectations import EXPECTATIONS, check_changes
+from tests.scenarios.language import Scenario
+from tests.scenarios.network import ProxiedDeployment
+from tests.scenarios.world import TurnRecord, World
+
+__all__ = ["run_scenario"]
+
+DEFAULT_PATIENCE_S = 40.0
+DEFAULT_MAX_TOKENS = 16
+MODEL_PATH = "/v1/chat/completions"
+
+
+async def run_scenario(scenario: Scenario, directory: pathlib.Path) -> None:
+    """Run all steps, then check every change that the scenario sent."""
+    run = _Run(directory, uses_links=bool(list(scenario.steps.find_data("silence"))))
+    try:
+        for step in scenario.steps.children:
+            await run.step(step)
+        await check_changes(run.world)
+    except (AssertionError, TimeoutError) as error:
+        if run.started:
+            error.add_note(run.world.log_tails())
+        raise
+    finally:
+        if run.started:
+            run.world.close()
+
+
+class _Run:
+    """Executes steps; the method of a step has the name of its grammar rule."""
+
+    def __init__(self, directory: pathlib.Path, uses_links: bool) -> None:
+        self._directory = directory
+        self._uses_links = uses_links
+        self._world: World | None = None
+        self._version = 1
+
+    @property
+    def started(self) -> bool:
+        """Whether there is a deployment."""
+        return self._world is not None
+
+    @property
+    def world(self) -> World:
+        """What the scenario knows."""
+        assert self._world is not None, "the first step must be 'start'"
+        return self._world
+
+    async def step(self, step: Tree[Any]) -> None:
+        """Run one step."""
+        if step.data in EXPECTATIONS:
+            await EXPECTATIONS[step.data](self.world, *step.children)
+        else:
+            await getattr(self, f"_{step.data}")(*step.children)
+
+    async def _together(self, *steps: Tree[Any]) -> None:
+        async with asyncio.TaskGroup() as group:
+            for step in steps:
+                group.create_task(self.step(step))
+
+    async def _sequence(self, *steps: Tree[Any]) -> None:
+        for step in steps:
+            await self.step(step)
+
+    async def _start(self, name: str, *settings: Tree[Any]) -> None:
+        plan = DEPLOYMENTS.get(name)
+        extra: dict[str, Any] = {}
+        standins: dict[str, dict[str, Any]] = {}
+        for group, key, value in (setting.children for setting in settings):
+            for endpoint in plan.endpoints:
+                if group == "engines" and endpoint.role == "model":
+                    standins[endpoint.name] = {"engine": {**ENGINE_SETTINGS, key: value}}
+                elif group == "services" and endpoint.role == "application":
+                    standins[endpoint.name] = {key: value}
+            if group == "processes":
+                extra[key] = value
+        kind = ProxiedDeployment if self._uses_links else ProcessDeployment
+        self._world = World(kind(plan, self._directory, extra, standins))
+        await self.world.deployment.start()
+
+    async def _let(self, name: str, finder: Tree[Any]) -> None:
+        found = getattr(self.world, finder.data)(*finder.children)
+        self.world.names[name] = await found if asyncio.iscoroutine(found) else found
+
+    async def _turn(self, program: str, number: int, entry: str, says: str, *rest: Any) -> None:
+        options = _Options.read(rest)
+        plan = self.world.deployment.deployment
+        body: dict[str, Any] = {
+            "model": plan.ordinary_model,
+            "messages": [{"role": "user", "content": says}],
+            "max_tokens": options.max_tokens,
+        }
+        if options.streamed:
+            body["stream"] = True
+        headers = {
+            "Jayvalve-Program": program,
+            "Jayvalve-Turn": str(number),
+            "Jayvalve-History": "append",
+            "Jayvalve-Request": f"{program}-{number}",
+            **options.headers,
+        }
+        reply = await self._send(entry, Request("POST", MODEL_PATH, headers, body), options)
+        if reply.status == 200:
+            record = TurnRecord(says, options.max_tokens, reply.text)
+            earlier = self.world.turns[program].setdefault(number, record)
+            assert earlier == record, f"{program} {number}: {earlier} became {record}"
+
+    async def _end_program(self, program: str, entry: str, *rest: Any) -> None:
+        request = Request("POST", f"/v1/programs/{program}/end", {}, {})
+        await self._send(entry, request, _Options.read(rest))
+
+    async def _change(self, key: str, entry: str, *rest: Any) -> None:
+        options = _Options.read(rest)
+        plan = self.world.deployment.deployment
+        path = f"/v1/services/{plan.service}{plan.change_path}"
+        for number in range(1, options.times + 1):
+            name = key if options.times == 1 else f"{key}-{number}"
+            headers = {**options.headers, "Jayvalve-Request": name}
+            if not options.keyless:
+                headers["Idempotency-Key"] = name
+            body = {"order": options.body or name}
+            await self._send(entry, Request("POST", path, headers, body), options)
+
+    async def _query(self, path: str, entry: str, expects: Tree[Any]) -> None:
+        await self._send(entry, Request("GET", path, {}), _Options.read([expects]))
+
+    async def _send(self, entry: str, request: Request, options: "_Options") -> Reply:
+        reply = await self.world.caller.send_until(
+            self.world.resolve(entry),
+            request,
+            options.statuses,
+            options.retrying,
+            patience_s=options.patience,
+        )
+        what = f"{request.method} {request.path} {request.headers}: {reply}"
+        assert reply.status in options.statuses, f"{what}; expected {options.statuses}"
+        assert options.code in (None, reply.code), f"{what}; expected code {options.code}"
+        assert options.verdict in (None, reply.verdict), f"{what}; expected {options.verdict}"
+        assert reply.status == BROKEN or reply.status < 400 or reply.verdict, f"{what}: no verdict"
+        return reply
+
+    async def _kill(self, *names: str) -> None:
+        found = [self.world.resolve(name) for name in names]
+        self.world.down.update(found)
+        for name in found:
+            self.world.deployment.kill(name)
+
+    async def _kill_data_centre(self, name: str) -> None:
+        plan = self.world.deployment.deployment
+        centres = dict(plan.entries)
+        centres |= {f"sidecar-{item.name}": item.data_centre for item in plan.endpoints}
+        centre = centres[self.world.resolve(name)]
+        await self._kill(*(process for process, where in centres.items() if where == centre))
+
+    async def _pause(self, name: str) -> None:
+        self.world.down.add(self.world.resolve(name))
+        self.world.deployment.pause(self.world.resolve(name))
+
+    async def _resume(self, name: str) -> None:
+        self.world.deployment.resume(self.world.resolve(name))
+        self.world.down.discard(self.world.resolve(name))
+
+    async def _respawn(self, *names: str) -> None:
+        for name in (self.world.resolve(item) for item in names):
+            self.world.deployment.spawn(name)
+            self.world.down.discard(name)
+
+    async def _respawn_dead(self) -> None:
+        await self._respawn(*sorted(self.world.down))
+
+    async def _stop(self, *names: str) -> None:
+        found = [self.world.resolve(name) for name in names]
+        self.world.down.update(found)
+        codes = await asyncio.gather(*map(self.world.deployment.terminate, found))
+        assert not any(codes), f"{found} stopped with exit codes {codes}"
+
+    async def _ready(self) -> None:
+        for name in self.world.running_entries():
+            await self.world.deployment.wait_ready(name)
+
+    async def _silence(self, source: str, target: str) -> None:
+        proxy = self.world.deployment.proxy(self.world.resolve(target))
+        assert proxy.silence(self.world.resolve(source)), f"{source} has no connection to {target}"
+
+    async def _restore(self, source: str, target: str) -> None:
+        self.world.deployment.proxy(self.world.resolve(target)).restore(self.world.resolve(source))
+
+    async def _fault(self, name: str, mode: str, seconds: float, delay_s: float = 1.0) -> None:
+        await self.world.deployment.set_fault(name, mode=mode, seconds=seconds, delay_s=delay_s)
+
+    async def _publish(self, *arguments: Any) -> None:
+        """Publish by several authors at the same time: exactly one may win."""
+        *authors, version = arguments
+
+        async def publish(number: int, author: str) -> int | None:
+            document = self.world.deployment.document()
+            document["rules"] = {"floors": {"ordinary": 0.4 + 0.01 * number}}
+            url = self.world.deployment.log_url
+            try:
+                return await publish_document(url, document, version, author)
+            except PublishConflictError:
+                return None
+
+        versions = await asyncio.gather(*(publish(*item) for item in enumerate(authors)))
+        accepted = [item for item in versions if item is not None]
+        assert accepted == [version + 1], f"publishes by {authors} gave {versions}"
+
+    async def _wait(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+
+
+@attrs.define
+class _Options:
+    """Options of a request and what its answer must be."""
+
+    max_tokens: int = DEFAULT_MAX_TOKENS
+    streamed: bool = False
+    keyless: bool = False
+    body: str | None = None
+    times: int = 1
+    retrying: float = 0.0
+    patience: float = DEFAULT_PATIENCE_S
+    headers: dict[str, str] = attrs.field(factory=dict)
+    statuses: tuple[int | str, ...] = ()
+    code: str | None = None
+    verdict: str | None = None
+
+    @classmethod
+    def read(cls, trees: Any) -> "_Options":
+        """Build from the trees of a step."""
+        options = cls()
+        for tree in trees:
+            if tree.data == "budget":
+                options.headers["Jayvalve-Budget"] = tree.children[0]
+            elif tree.data == "deadline":
+                options.headers["Jayvalve-Deadline"] = str(tree.children[0])
+            elif tree.data == "in_program":
+                options.headers["Jayvalve-Program"] = tree.children[0]
+                options.headers["Jayvalve-Turn"] = str(tree.children[1])
+            elif tree.data == "expects":
+                options._read_expected(tree.children)
+            else:
+                setattr(options, tree.data, tree.children[0] if tree.children else True)
+        return options
+
+    def _read_expected(self, parts: list[Tree[Any]]) -> None:
+        for part in parts:
+            if part.data == "status":
+                self.statuses += (part.children[0] if part.children else BROKEN,)
+            else:
+                setattr(self, part.data, part.children[0])
--- /dev/null
+++ b/tests/scenarios/world.py
@@ -0,0 +1,138 @@
+"""What a running scenario knows: its deployment, the requests sent and the answers."""
+
+import asyncio
+import contextlib
+import json
+import time
+from collections import defaultdict
+from typing import Any
+
+import attrs
+
+from jayvalve.deployments.processes import ProcessDeployment
+from jayvalve.internal.claims.relays import relay_of
+from jayvalve.internal.hashing import rendezvous_order
+from tests.scenarios.caller import Caller, Reply, Request, fetch_json
+from tests.scenarios.transcript import Transcript
+
+__all__ = ["ORGANISATION", "TurnRecord", "World"]
+
+ORGANISATION = "default"
+POLL_S = 0.05
+FIND_LIMIT_S = 10.0
+
+
+@attrs.define
+class TurnRecord:
+    """One turn of a program: what was asked and the text that came back."""
+
+    says: str
+    max_tokens: int
+    text: str = ""
+
+
+class World:
+    """The deployment of one scenario and everything that was seen of it."""
+
+    def __init__(self, deployment: ProcessDeployment) -> None:
+        self.deployment = deployment
+        self.names: dict[str, str] = {}
+        self.down: set[str] = set()
+        self.turns: dict[str, dict[int, TurnRecord]] = defaultdict(dict)
+        self.changes: dict[str, list[tuple[Request, Reply]]] = defaultdict(list)
+        self.transcript = Transcript()
+        self.caller = Caller(deployment.url, self.running_entries, self._record)
+
+    def resolve(self, name: str) -> str:
+        """Return the process that a name of the scenario stands for."""
+        return self.names.get(name, name)
+
+    def running_entries(self) -> list[str]:
+        """Return the entries that neither ended nor are paused."""
+        return [name for name in self.deployment.entry_names if name not in self.down]
+
+    def running(self) -> list[str]:
+        """Return the entries and sidecars that neither ended nor are paused."""
+        names = self.deployment.entry_names + self.deployment.sidecar_names
+        return [name for name in names if name not in self.down]
+
+    def owner_of(self, program: str) -> str:
+        """Return the entry that comes first for a program among the running ones."""
+        root = program.split(".", 1)[0]
+        return rendezvous_order(f"{ORGANISATION}/{root}", self.running_entries())[0]
+
+    def entry_beside(self, *others: str) -> str:
+        """Return a running entry that is none of the others."""
+        taken = {self.resolve(other) for other in others}
+        return next(name for name in self.running_entries() if name not in taken)
+
+    def relay_of(self, key: str) -> str:
+        """Return the entry that relays a key's claims."""
+        return relay_of(ORGANISATION, key, sorted(self.running_entries()))
+
+    async def sidecar_running(self, kind: str) -> str:
+        """Return a sidecar with an attempt in progress, of a "service" or "model" endpoint."""
+        role = "application" if kind == "service" else "model"
+        plans = [plan for plan in self.deployment.deployment.endpoints if plan.role == role]
+        end_s = time.monotonic() + FIND_LIMIT_S
+        while time.monotonic() < end_s:
+            for plan in plans:
+                name = f"sidecar-{plan.name}"
+                if name in self.running() and (await self.deployment.status(name))["attempts"]:
+                    return name
+            await asyncio.sleep(POLL_S)
+        raise AssertionError(f"no {kind} sidecar has an attempt in progress")
+
+    async def copy_of(self, program: str) -> str:
+        """Return a process that holds a copy of a program and does not own it."""
+        document = await self.program(program)
+        owner = self.owner_of(program)
+        names = [holder.rpartition("#")[0] for holder in document["copies"]]
+        return next(name for name in names if name != owner)
+
+    async def program(self, name: str) -> dict[str, Any]:
+        """Return the owner's view of a program."""
+        return await fetch_json(f"{self.deployment.url(self.owner_of(name))}/v1/programs/{name}")
+
+    async def runs(self, key: str | None = None, endpoint: str | None = None) -> int:
+        """Count the changes that ran, of one key or at one endpoint."""
+        total = 0
+        for plan in self.deployment.deployment.endpoints:
+            if plan.role == "application" and endpoint in (None, plan.name):
+                query = f"?key={key}" if key else ""
+                url = f"{self.deployment.standin_url(plan.name)}/runs{query}"
+                total += (await fetch_json(url))["runs"]
+        return total
+
+    async def held_tokens(self, program: str) -> int:
+        """Return the tokens that all engines hold for a program and its sub-agents."""
+        root = f"{ORGANISATION}/{program}"
+        total = 0
+        for plan in self.deployment.deployment.endpoints:
+            if plan.role == "model":
+                url = f"{self.deployment.standin_url(plan.name)}/kv/programs"
+                held = (await fetch_json(url))["programs"]
+                total += sum(
+                    tokens
+                    for name, tokens in held.items()
+                    if name == root or name.startswith(f"{root}.")
+                )
+        return total
+
+    def close(self) -> None:
+        """End the processes and the callers' connections."""
+        with contextlib.ExitStack() as stack:
+            stack.callback(self.deployment.close)
+            stack.callback(self.caller.close)
+
+    def _record(self, request: Request, reply: Reply) -> None:
+        self.transcript.add(request, reply)
+        key = request.headers.get("Idempotency-Key")
+        if key is not None:
+            self.changes[key].append((request, reply))
+
+    def log_tails(self, limit: int = 1500) -> str:
+        """Return the end of each process's log, for the report of a failure."""
+        names = self.deployment.entry_names + self.deployment.sidecar_names
+        tails = {name: self.deployment.log_text(name)[-limit:] for name in names}
+        return json.dumps(tails, indent=1).replace("\\n", "\n")
