Refuse reads and gaps at an owner that was replaced while it was paused

Cause: an owner that wakes after its takeover learns of the new term only when it writes. Until then GET of a program answered from the old history, and a turn whose predecessors had run at the new owner was refused with predecessor_missing. Change: such reads and calls first look the program up in the copies (OwnershipTable.confirm); a higher term drops the program here, too few answers refuse the read.

--- a/src/jayvalve/internal/entry/programs.py
+++ b/src/jayvalve/internal/entry/programs.py
@@ -124,6 +124,12 @@
         self._spawn(self._finish_single(execution, stream))
         return stream
 
+    def lacks_predecessor(self, owned: OwnedProgram, call: CallRequest) -> bool:
+        """Return whether a call's turn comes later than the next one."""
+        agent = owned.program.agents.get(ProgramId.parse(call.organisation, call.program).name)
+        last_turn = agent.last_turn if agent is not None else 0
+        return call.turn is not None and call.turn > last_turn + 1
+
     async def run(self, owned: OwnedProgram, call: CallRequest) -> CallStream:
         """Run a call of an owned program, or join it if it is a repeat."""
         program = owned.program
--- a/src/jayvalve/internal/entry/service.py
+++ b/src/jayvalve/internal/entry/service.py
@@ -120,6 +120,9 @@
         may_create = call.turn in (None, 1) and identity.parent is None
 
         async def run_here(owned: OwnedProgram) -> AsyncIterator[Any]:
+            if self._calls.lacks_predecessor(owned, call):
+                # The predecessor may have run at another entry that took the program over.
+                await self._table.confirm(identity)
             stream = await self._calls.run(owned, call)
             async for part in stream.read():
                 yield part
@@ -221,6 +224,8 @@
         self, action: str, identity: ProgramId, owned: OwnedProgram
     ) -> dict[str, Any]:
         program = owned.program
+        if action != "end":
+            await self._table.confirm(identity)
         if action == "history":
             messages = program.agent(identity.name).messages
             return {"program": identity.name, "messages": messages}
--- a/src/jayvalve/internal/programs/ownership.py
+++ b/src/jayvalve/internal/programs/ownership.py
@@ -135,6 +135,25 @@
         with self._dropping_stale(identity.root.key, owned):
             await owned.append(record, timeout_s)
 
+    async def confirm(self, identity: ProgramId) -> None:
+        """Check that no other entry has taken the program over.
+
+        Writes find this out by themselves. A read would return an old history at an entry
+        that was paused past its takeover.
+
+        Raises:
+            StaleTermError: another entry owns the program; it is dropped here.
+            HistoryUnavailableError: too few copies answered.
+
+        """
+        owned = self._require(key := identity.root.key)
+        location = await self._reader.lookup(key)
+        if location is None or not (location.ended or self._reader.can_gather(location)):
+            raise HistoryUnavailableError(f"too few copies of {key} answered a read")
+        if location.ended or location.term > owned.writer.term:
+            self._drop_owned(key, owned)
+            raise StaleTermError(f"program {key} is owned under {location.term}")
+
     async def take_over(self, identity: ProgramId) -> Program:
         """Become the owner of a program whose owner is gone.
 
--- a/tests/cover/test_programs_ownership.py
+++ b/tests/cover/test_programs_ownership.py
@@ -93,6 +93,35 @@
         """Guards against an owner that acknowledges records after it was replaced."""
         self._race(CopyStore)
 
+    def test_read_at_a_replaced_owner_is_refused(self):
+        """Guards against an old history read from an owner that was paused past its takeover."""
+        processes = self.start()
+
+        async def body():
+            owner = await self.create()
+            await owner.table.confirm(PROGRAM)
+            await self.checker.take_over(processes["d"], PROGRAM)
+            await processes["d"].table.confirm(PROGRAM)
+            with ExpectedException(StaleTermError):
+                await owner.table.confirm(PROGRAM)
+            self.assertIsNone(owner.table.get(PROGRAM))
+
+        self.run_body(body())
+
+    def test_read_without_copies_is_refused(self):
+        """Guards against an old history read from an owner that is cut off from its copies."""
+        processes = self.start()
+
+        async def body():
+            owner = await self.create()
+            self.network.blocked = {
+                pair for name in processes if name != "a" for pair in (("a", name), (name, "a"))
+            }
+            with ExpectedException(HistoryUnavailableError):
+                await owner.table.confirm(PROGRAM)
+
+        self.run_body(body())
+
     def test_checker_catches_missing_fencing(self):
         """Guards against a checker that passes everything."""
         with ExpectedException(Violation):
