Tell the relay how long the requester of a claim waits

Cause: a relay waits up to 10 s for the log, so a requester with a shorter deadline gave up first and reported peer_unavailable instead of the log_unavailable that the design states. Change: ClaimRequest gains deadline_ms at its end, and the relay decides within 90% of it.

--- a/src/jayvalve/internal/entry/key_claims.py
+++ b/src/jayvalve/internal/entry/key_claims.py
@@ -29,6 +29,8 @@
 
 RELAY_TIMEOUT_S = 10.0
 RETRY_INTERVAL_S = 0.2
+# Part of the requester's remaining time that a relay may use to decide on a claim.
+RELAY_SHARE = 0.9
 # An outcome that the log did not take is also in the program's history and at the sidecar.
 REPORT_LIMIT_S = 600.0
 
@@ -81,7 +83,7 @@
 
         @handlers.on(ClaimRequest)
         async def claim(context: PeerContext, message: ClaimRequest) -> ClaimDecision:
-            return await self._relays.claim(message, self._relay_deadline())
+            return await self._relays.claim(message, self._relay_deadline(message.deadline_ms))
 
         @handlers.on(OutcomeReport)
         async def report(context: PeerContext, message: OutcomeReport) -> ClaimDecision:
@@ -147,8 +149,9 @@
         """Return what is known of a key."""
         return await self._ask(KeyQuery(organisation, key), Deadline.after(self._clock, timeout_s))
 
-    def _relay_deadline(self) -> Deadline:
-        return Deadline.after(self._clock, RELAY_TIMEOUT_S)
+    def _relay_deadline(self, stated_ms: int = 0) -> Deadline:
+        limit_s = stated_ms / 1000 if stated_ms else RELAY_TIMEOUT_S
+        return Deadline.after(self._clock, min(RELAY_TIMEOUT_S, limit_s))
 
     async def _ask(self, message: Any, deadline: Deadline) -> ClaimDecision:
         """Send a message to the relay; the ids in it make a repetition harmless."""
@@ -159,6 +162,11 @@
                 return await self._answer_here(message, deadline)
             try:
                 timeout_s = min(RELAY_TIMEOUT_S, deadline.remaining_s)
+                if isinstance(message, ClaimRequest):
+                    # The relay refuses a little earlier than this side stops waiting, so that
+                    # the refusal names its reason, such as log_unavailable.
+                    stated_ms = max(1, int(timeout_s * RELAY_SHARE * 1000))
+                    message = attrs.evolve(message, deadline_ms=stated_ms)
                 return await self._pool.call(entries[relay], message, timeout_s)
             except PeerUnavailableError as error:
                 if deadline.remaining_s <= RETRY_INTERVAL_S:
--- a/src/jayvalve/internal/wire/messages.py
+++ b/src/jayvalve/internal/wire/messages.py
@@ -332,6 +332,8 @@
     incarnation: int = _integer()
     attempt_number: int = _integer(1)
     key_created: float = _number(0.0)
+    # Time that the requester still waits; 0 from a version that does not state it.
+    deadline_ms: int = _integer(0)
 
 
 @message("outcome_report")
