Choose deployment ports below the range of outgoing connections

Cause: free_ports took ephemeral ports and released them, so another process on the machine could take one before its use; in one run of log_down_change_waits the port of a service stand-in answered 404. Change: ports come from 12000 to 32000, and start waits until each stand-in says that it is ready, which reports a stand-in that could not listen.

--- a/src/jayvalve/deployments/processes.py
+++ b/src/jayvalve/deployments/processes.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -26,14 +27,21 @@
 REQUEST_TIMEOUT_S = 2.0
 
 
+# Below the range that Linux gives to outgoing connections (32768 to 60999), so that none takes
+# a port between its choice here and its use by a process.
+PORT_RANGE = (12_000, 32_000)
+
+
 def free_ports(count: int) -> list[int]:
     """Return free TCP ports on loopback; all are held until the last one is known."""
     with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
+        ports: list[int] = []
+        while len(ports) < count:
+            port = random.randint(*PORT_RANGE)
             held = stack.enter_context(socket.socket())
-            held.bind((LOOPBACK, 0))
-            ports.append(held.getsockname()[1])
+            with contextlib.suppress(OSError):
+                held.bind((LOOPBACK, port))
+                ports.append(port)
         return ports
 
 
@@ -116,7 +124,8 @@
         """Start everything, publish the inventory and wait until all entries serve."""
         for name in list(self._processes):
             self.spawn(name)
-        await self._wait_standin("log")
+        standins = ["log", *(plan.name for plan in self._deployment.endpoints)]
+        await asyncio.gather(*(self._wait_standin(name) for name in standins))
         await publish_document(self.log_url, self.document(), 0, "demo")
         await asyncio.gather(*(self.wait_ready(name) for name in self.entry_names))
 
