--- a/tests/scenarios/transcript.py
+++ b/tests/scenarios/transcript.py
@@ -22,6 +22,9 @@
     (re.compile(r'"attempt": ?"\d+-\d+"'), '"attempt": <attempt>'),
     (re.compile(r'"endpoint": ?"[\w-]+"'), '"endpoint": <endpoint>'),
     (re.compile(r"attempt \d+-\d+"), "attempt <attempt>"),
+    # The endpoint is chosen by load, so its counter and its cache differ between runs.
+    (re.compile(r'"number": ?\d+'), '"number": <number>'),
+    (re.compile(r'"cached_tokens": ?\d+'), '"cached_tokens": <cached>'),
 )
 
 
