--- a/src/jayvalve/cli.py
+++ b/src/jayvalve/cli.py
@@ -1,4 +1,8 @@
-"""The command line."""
+"""The command line.
+
+Each command imports what it runs, because a stand-in or sidecar would otherwise spend half of
+its start on modules that it never uses.
+"""
 
 import asyncio
 import contextlib
@@ -8,10 +12,7 @@
 
 import fire
 
-from jayvalve.demo import run_demo
-from jayvalve.deployments import DEPLOYMENTS, InProcessDeployment
 from jayvalve.errors import InvalidRequestError, InvalidSettingsError, JayvalveError
-from jayvalve.internal.entry.app import EntryProcess
 from jayvalve.internal.lifecycle import Service, run_until_stopped
 from jayvalve.internal.logging import configure_logging
 from jayvalve.internal.operator.config_commands import ConfigCommands
@@ -24,8 +25,6 @@
 from jayvalve.internal.report.commands import ReportCommands
 from jayvalve.internal.schema import parse_json
 from jayvalve.internal.settings import Settings, load_settings
-from jayvalve.internal.sidecar.app import SidecarProcess
-from jayvalve.standins import run_standin
 
 __all__ = ["Commands", "main"]
 
@@ -64,6 +63,8 @@
         Args:
             config: Path of the JSON settings file.
         """
+        from jayvalve.internal.entry.app import EntryProcess
+
         _run_process(EntryProcess, config)
 
     def sidecar(self, config: str) -> None:
@@ -72,6 +73,8 @@
         Args:
             config: Path of the JSON settings file.
         """
+        from jayvalve.internal.sidecar.app import SidecarProcess
+
         _run_process(SidecarProcess, config)
 
     def local(self, port: int = 8080, deployment: str = "acquaviva") -> None:
@@ -81,6 +84,8 @@
             port: HTTP port of the first entry; 0 takes a free one.
             deployment: acquaviva or quotaviva.
         """
+        from jayvalve.deployments import DEPLOYMENTS, InProcessDeployment
+
         configure_logging("local", "WARNING")
         chosen = DEPLOYMENTS.get(deployment)
 
@@ -91,6 +96,8 @@
 
     def demo(self) -> None:
         """Run both deployments as separate processes with faults and check the promises."""
+        from jayvalve.demo import run_demo
+
         configure_logging("demo", "WARNING")
         if not run_demo():
             sys.exit(EXIT_FAILED)
@@ -103,6 +110,8 @@
             config: Path of a JSON file with the stand-in's settings.
             port: TCP port on 127.0.0.1; 0 takes a free one.
         """
+        from jayvalve.standins import run_standin
+
         settings: dict[str, Any] = {}
         if config:
             settings = parse_json(_read(config), config)
