Give entries that start in the same millisecond different attempt ids

Cause: an attempt id was the incarnation of the entry and a counter. The incarnation is the start time in milliseconds, so two entries that start in the same millisecond made the same ids. A sidecar answers a known id with the answer it already has; callers then got answers of other callers' requests, and changes were reported as done that never reached the service.

Ruled out: the simulated network and callers. The answers came out of the sidecar's attempt table under an id that another entry had used.

Change: the number in the id also contains 20 bits of a hash of the instance name. Two entries collide only with equal start times and equal hashes.

--- a/src/jayvalve/internal/entry/app.py
+++ b/src/jayvalve/internal/entry/app.py
@@ -176,7 +176,7 @@
             RetryPolicy(RetryBudget()),
             self._claims,
             runtime.metrics,
-            AttemptIds(runtime.identity.incarnation),
+            AttemptIds(runtime.identity.instance, runtime.identity.incarnation),
         )
         self._calls = ProgramCalls(self._table, tools, runtime.spawn, self._budget_rule)
         self._service = EntryService(
--- a/src/jayvalve/internal/entry/execution.py
+++ b/src/jayvalve/internal/entry/execution.py
@@ -23,7 +23,7 @@
 from jayvalve.internal.entry.journal import Answer, Journal
 from jayvalve.internal.entry.key_claims import ClaimGrant, KeyClaims
 from jayvalve.internal.entry.request import CallRequest
-from jayvalve.internal.hashing import digest
+from jayvalve.internal.hashing import digest, partition
 from jayvalve.internal.limits import RetryPolicy
 from jayvalve.internal.membership import Member
 from jayvalve.internal.metrics import Metrics
@@ -38,16 +38,26 @@
 _log = logger.bind(part="calls")
 
 
+# An incarnation is a start time in milliseconds and needs 41 bits until the year 2039; with
+# 20 more bits the number stays below 2**63 until far later.
+INSTANCE_BITS = 20
+
+
 class AttemptIds:
-    """Attempt ids of one process: its incarnation and a counter."""
+    """Attempt ids of one process: the number of its incarnation and a counter.
+
+    Entries that start in the same millisecond have equal incarnations. Their ids must differ,
+    because a sidecar answers a known id with the answer that it already has; so the number
+    also contains a hash of the instance name.
+    """
 
-    def __init__(self, incarnation: int) -> None:
-        self._incarnation = incarnation
+    def __init__(self, instance: str, incarnation: int) -> None:
+        self._owner = incarnation << INSTANCE_BITS | partition(instance, 1 << INSTANCE_BITS)
         self._counter = itertools.count(1)
 
     def next(self) -> str:
-        """Return an id that this process has not used."""
-        return f"{self._incarnation}-{next(self._counter)}"
+        """Return an id that no process has used."""
+        return f"{self._owner}-{next(self._counter)}"
 
 
 @attrs.frozen
