Free engine memory of programs that an earlier sidecar ran

Cause: a sidecar knew only the programs that it had run itself.

Ruled out: lost release messages. In the traces the release reached the new sidecar and was confirmed.

Events that the engine leaves out are still not known to a new sidecar.

--- a/src/jayvalve/internal/sidecar/release.py
+++ b/src/jayvalve/internal/sidecar/release.py
@@ -25,7 +25,8 @@
     """Knows which programs hold memory of the endpoint, and frees it.
 
     The sweep finds the programs whose release message was lost, for example because their
-    owner died.
+    owner died. It also reads the engine's cache events, because the engine keeps its memory
+    when this process is replaced.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         self._min_idle_s = min_idle_s
         self._sweep_interval_s = sweep_interval_s
         self._last_used_s: dict[str, float] = {}
+        self._next_event = 0
 
     @property
     def programs(self) -> list[str]:
@@ -58,10 +60,23 @@
         Raises:
             JayvalveError: the endpoint did not confirm; the sweep will try again.
         """
-        for program in self.programs:
-            if program == root or program.startswith(f"{root}."):
-                await self._adapter.release(program)
-                self._last_used_s.pop(program, None)
+        agents = [name for name in self.programs if name.startswith(f"{root}.")]
+        # The root may be unknown here although an earlier sidecar of the engine ran it.
+        for program in (root, *agents):
+            await self._adapter.release(program)
+            self._last_used_s.pop(program, None)
+
+    async def discover(self) -> None:
+        """Take note of the programs in the engine's cache events since the last call.
+
+        Raises:
+            JayvalveError: the endpoint did not answer.
+        """
+        page = await self._adapter.cache_events(self._next_event)
+        self._next_event = page.next_sequence
+        for event in page.events:
+            if event.kind == "stored":
+                self._last_used_s.setdefault(event.program, self._clock.now())
 
     async def sweep(self) -> int:
         """Free what belongs to ended or unknown programs; return how many were freed."""
@@ -83,6 +98,7 @@
         while True:
             await asyncio.sleep(self._sweep_interval_s)
             try:
+                await self.discover()
                 freed = await self.sweep()
             except JayvalveError as error:
                 _log.warning("sweep failed and is repeated: {}", error.message)
