Add a seeded search over fault schedules

Checks of P1 to P10 use what callers and endpoints observed. Broken variants show what the search has to catch.

--- /dev/null
+++ b/src/jayvalve/internal/measure/faults/network.py
@@ -0,0 +1,235 @@
+"""TCP connections between simulated hosts, with the faults of links and connections."""
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import attrs
+from tornado.iostream import StreamClosedError
+
+from jayvalve.internal.measure.faults.virtual_time import (
+    GLOBAL,
+    SimulatedHost,
+    VirtualTimeLoop,
+    current_host,
+)
+
+__all__ = ["Network", "SimulatedStream"]
+
+ONE_WAY_S = 0.0005
+JITTER_S = 0.0005
+
+Accept = Callable[["SimulatedStream", Any], Coroutine[Any, Any, None]]
+
+
+@attrs.define(eq=False)
+class _Pipe:
+    """Bytes in one direction of a connection; they arrive in order or not at all.
+
+    Bytes sent over a cut link or a stalled connection arrive when it works again, as TCP
+    repeats them. stalled_until_s of infinity is a connection that went silent for good.
+    """
+
+    network: "Network"
+    source: SimulatedHost
+    target: SimulatedHost
+    random: random.Random
+    buffer: bytearray = attrs.field(factory=bytearray)
+    in_flight: deque[bytes | None] = attrs.field(factory=deque)
+    ended: bool = False
+    stalled_until_s: float = 0.0
+    last_arrival_s: float = 0.0
+    waiting: "asyncio.Future[None] | None" = None
+
+    def send(self, data: bytes | None) -> None:
+        """Send bytes, or the end of the stream as None."""
+        loop = self.network.loop
+        delay_s = ONE_WAY_S + self.random.random() * JITTER_S
+        ready_s = max(
+            loop.time() + delay_s + self.network.extra_delay_s(self.source, self.target),
+            self.network.blocked_until_s(self.source, self.target),
+            self.stalled_until_s,
+            self.last_arrival_s,
+        )
+        if ready_s == float("inf"):
+            return
+        self.last_arrival_s = ready_s
+        self.in_flight.append(data)
+        loop.call_at(ready_s, self._arrive, context=GLOBAL.copy())
+
+    def _arrive(self) -> None:
+        held_s = max(self.network.blocked_until_s(self.source, self.target), self.stalled_until_s)
+        now_s = self.network.loop.time()
+        if held_s > now_s:
+            if held_s < float("inf"):
+                self.network.loop.call_at(held_s, self._arrive, context=GLOBAL.copy())
+            return
+        # Timers of equal times may fire in any order; the bytes keep theirs.
+        data = self.in_flight.popleft()
+        if data is None:
+            self.ended = True
+        else:
+            self.buffer += data
+        if self.waiting is not None and not self.waiting.done():
+            self.waiting.set_result(None)
+
+
+class SimulatedStream:
+    """One end of a connection, with the methods of tornado's IOStream that are used."""
+
+    def __init__(self, incoming: _Pipe, outgoing: _Pipe) -> None:
+        self._incoming = incoming
+        self._outgoing = outgoing
+        self._closed = False
+
+    @property
+    def hosts(self) -> frozenset[str]:
+        """Names of the hosts at both ends."""
+        return frozenset({self._incoming.source.name, self._incoming.target.name})
+
+    @property
+    def ends(self) -> tuple[SimulatedHost, SimulatedHost]:
+        """The hosts at both ends."""
+        return self._incoming.source, self._incoming.target
+
+    def set_nodelay(self, value: bool) -> None:
+        """Do nothing."""
+
+    def closed(self) -> bool:
+        """Return whether this end was closed or has seen the end of the stream."""
+        return self._closed or (self._incoming.ended and not self._incoming.buffer)
+
+    def close(self) -> None:
+        """Close this end; what was sent before still arrives."""
+        if not self._closed:
+            self._closed = True
+            self._outgoing.send(None)
+            waiting = self._incoming.waiting
+            if waiting is not None and not waiting.done():
+                waiting.set_result(None)
+
+    def reset(self) -> None:
+        """End the connection at both ends."""
+        self._incoming.send(None)
+        self._outgoing.send(None)
+
+    def stall(self, until_s: float) -> None:
+        """Deliver nothing in either direction until a time."""
+        self._incoming.stalled_until_s = self._outgoing.stalled_until_s = until_s
+
+    async def read_bytes(self, count: int) -> bytes:
+        """Return the next count bytes."""
+        pipe = self._incoming
+        while len(pipe.buffer) < count:
+            if self._closed or pipe.ended:
+                raise StreamClosedError()
+            pipe.waiting = asyncio.get_running_loop().create_future()
+            await pipe.waiting
+        if self._closed:
+            raise StreamClosedError()
+        data = bytes(pipe.buffer[:count])
+        del pipe.buffer[:count]
+        return data
+
+    async def write(self, data: bytes) -> None:
+        """Send bytes."""
+        if self.closed():
+            raise StreamClosedError()
+        self._outgoing.send(data)
+
+
+class Network:
+    """Hosts that listen at addresses and the state of the links between them."""
+
+    def __init__(self, loop: VirtualTimeLoop, seed: int) -> None:
+        self.loop = loop
+        self._random = random.Random(f"network {seed}")
+        self._listeners: dict[str, tuple[SimulatedHost, Accept]] = {}
+        self._blocked: dict[tuple[str, str], float] = {}
+        self._slow: dict[tuple[str, str], tuple[float, float]] = {}
+        self._streams: list[SimulatedStream] = []
+
+    def listen(self, address: str, host: SimulatedHost, accept: Accept) -> None:
+        """Accept connections to an address on a host."""
+        self._listeners[address] = host, accept
+
+    def close_listener(self, address: str, host: SimulatedHost) -> None:
+        """Refuse connections to an address, unless another host listens there now."""
+        if address in self._listeners and self._listeners[address][0] is host:
+            del self._listeners[address]
+
+    def block(self, source: str, target: str, until_s: float) -> None:
+        """Cut the link in one direction until a time."""
+        self._blocked[source, target] = max(until_s, self._blocked.get((source, target), 0.0))
+
+    def slow(self, source: str, target: str, delay_s: float, until_s: float) -> None:
+        """Add a delay to one direction of a link until a time."""
+        self._slow[source, target] = delay_s, until_s
+
+    def heal(self) -> None:
+        """Make all links work; connections that went silent for good stay so."""
+        self._blocked.clear()
+        self._slow.clear()
+
+    def blocked_until_s(self, source: SimulatedHost, target: SimulatedHost) -> float:
+        """Return when the link carries data again."""
+        return self._blocked.get((source.name, target.name), 0.0)
+
+    def extra_delay_s(self, source: SimulatedHost, target: SimulatedHost) -> float:
+        """Return the delay added by a slow link."""
+        delay_s, until_s = self._slow.get((source.name, target.name), (0.0, 0.0))
+        return delay_s * self._random.random() if self.loop.time() < until_s else 0.0
+
+    def streams_between(self, one: str, other: str) -> list[SimulatedStream]:
+        """Return the open connections between two hosts."""
+        self._streams = [stream for stream in self._streams if not stream.closed()]
+        return [stream for stream in self._streams if stream.hosts == {one, other}]
+
+    def host_ended(self, host: SimulatedHost) -> None:
+        """End the connections of a host whose machine still runs: its kernel resets them."""
+        for stream in self._streams:
+            if host in stream.ends:
+                stream.reset()
+        for address, (listener, _) in list(self._listeners.items()):
+            if listener is host:
+                del self._listeners[address]
+
+    async def connect(self, address: str) -> SimulatedStream:
+        """Connect from the current host; OSError if nobody listens."""
+        source = current_host()
+        if source is None:
+            raise RuntimeError("only a host can connect")
+        await asyncio.sleep(ONE_WAY_S)
+        found = self._listeners.get(address)
+        if found is not None:
+            target, _ = found
+            links = (self.blocked_until_s(source, target), self.blocked_until_s(target, source))
+            while max(links) > self.loop.time():
+                await asyncio.sleep(max(links) - self.loop.time())
+                links = (self.blocked_until_s(source, target), self.blocked_until_s(target, source))
+        await asyncio.sleep(ONE_WAY_S)
+        found = self._listeners.get(address)
+        if found is None:
+            raise ConnectionRefusedError(f"nobody listens at {address}")
+        target, accept = found
+        if not target.alive:
+            # The machine is gone, so nothing answers.
+            await asyncio.sleep(60.0)
+        forward = _Pipe(self, source, target, self._random)
+        backward = _Pipe(self, target, source, self._random)
+        client = SimulatedStream(backward, forward)
+        target.spawn(accept(SimulatedStream(forward, backward), source.name))
+        self._streams.append(client)
+        return client
+
+    def client_class(self) -> type:
+        """Return a stand-in for tornado's TCPClient."""
+        network = self
+
+        class SimulatedTCPClient:
+            async def connect(self, host: str, port: int, **options: Any) -> SimulatedStream:
+                return await network.connect(f"{host}:{port}")
+
+        return SimulatedTCPClient
--- /dev/null
+++ b/src/jayvalve/internal/measure/faults/search.py
@@ -0,0 +1,173 @@
+"""Search over many schedules in worker processes, and its report."""
+
+import json
+import multiprocessing
+import os
+import pathlib
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import attrs
+from loguru import logger
+from rich.console import Console
+from rich.table import Table
+from tqdm import tqdm
+
+from jayvalve.internal.measure.faults.checks import CHECKS, Finding, check_world
+from jayvalve.internal.measure.faults.variants import VARIANTS
+from jayvalve.internal.measure.faults.world import World, run_schedule
+
+__all__ = ["PROMISES", "ScheduleResult", "replay", "run_fault_search", "run_variants"]
+
+PROMISES = tuple(sorted(CHECKS.names, key=lambda name: int(name[1:])))
+MAX_WORKERS = 5
+MAX_SEEDS_SHOWN = 5
+# Seeds that a broken variant may take until it is caught.
+VARIANT_SCHEDULES = 60
+
+
+@attrs.frozen
+class ScheduleResult:
+    """What one schedule showed; error holds an unexpected exception of the run itself."""
+
+    seed: int
+    findings: dict[str, Finding]
+    digest: str = ""
+    summary: dict[str, Any] = attrs.field(factory=dict)
+    error: str = ""
+
+
+def _evaluate(world: World) -> ScheduleResult:
+    return ScheduleResult(
+        world.schedule.seed, check_world(world), world.trace_digest(), world.schedule.summary()
+    )
+
+
+def _run_one(task: tuple[int, str | None]) -> ScheduleResult:
+    seed, variant = task
+    patches = VARIANTS.get(variant).patches() if variant else []
+    try:
+        return run_schedule(seed, _evaluate, patches)
+    except Exception as error:
+        return ScheduleResult(seed, {}, error=f"{type(error).__name__}: {error}")
+
+
+@contextmanager
+def _fixed_hash_seed() -> Iterator[None]:
+    # The order of sets of strings depends on the hash seed, which a process gets at its start.
+    before = os.environ.get("PYTHONHASHSEED")
+    os.environ["PYTHONHASHSEED"] = "0"
+    try:
+        yield
+    finally:
+        if before is None:
+            del os.environ["PYTHONHASHSEED"]
+        else:
+            os.environ["PYTHONHASHSEED"] = before
+
+
+def replay(
+    seeds: Iterable[int], variant: str | None = None, workers: int = MAX_WORKERS
+) -> Iterator[ScheduleResult]:
+    """Run schedules in worker processes and yield their results in order of the seeds."""
+    tasks = [(seed, variant) for seed in seeds]
+    if not tasks:
+        return
+    count = max(1, min(workers, MAX_WORKERS, len(tasks)))
+    with _fixed_hash_seed():
+        pool = multiprocessing.get_context("spawn").Pool(count, initializer=_silence)
+    with pool:
+        yield from pool.imap(_run_one, tasks)
+
+
+def _silence() -> None:
+    # Processes under faults log thousands of expected warnings.
+    logger.remove()
+
+
+def run_fault_search(
+    seed: int,
+    schedules: int,
+    output: str | pathlib.Path | None,
+    variant: str | None = None,
+    progress: bool = True,
+) -> dict[str, Any]:
+    """Run schedules seed to seed + schedules - 1, print a table and write the report.
+
+    Args:
+        seed: Seed of the first schedule; a violation is repeated with its own seed.
+        schedules: Number of schedules.
+        output: JSON file for the report, or None.
+        variant: Name of a broken variant to run instead of the real code.
+        progress: Whether to show a progress bar and the table.
+    """
+    results = []
+    seeds = range(seed, seed + schedules)
+    with tqdm(total=schedules, unit="schedule", disable=not progress) as bar:
+        for result in replay(seeds, variant):
+            results.append(result)
+            bar.update()
+    report = _report(seed, results, variant)
+    if progress:
+        _print_table(report)
+    if output is not None:
+        pathlib.Path(output).write_text(json.dumps(report, indent=2) + "\n", encoding="utf-8")
+    return report
+
+
+def _report(seed: int, results: list[ScheduleResult], variant: str | None) -> dict[str, Any]:
+    completed = [result for result in results if not result.error]
+    rows = []
+    for promise in PROMISES:
+        findings = [(result.seed, result.findings[promise]) for result in completed]
+        rows.append(
+            {
+                "promise": promise,
+                "schedules": len(findings),
+                "checks": sum(finding.checks for _, finding in findings),
+                "violations": sum(len(finding.violations) for _, finding in findings),
+                "seeds": [number for number, finding in findings if finding.violations],
+            }
+        )
+    return {
+        "experiment": "faults",
+        "seed": seed,
+        "variant": variant,
+        "rows": rows,
+        "errors": [{"seed": item.seed, "error": item.error} for item in results if item.error],
+    }
+
+
+def _print_table(report: dict[str, Any]) -> None:
+    table = Table(title=f"Fault search from seed {report['seed']}")
+    for column in ("promise", "schedules", "checks", "violations", "seeds"):
+        table.add_column(column, justify="left" if column in ("promise", "seeds") else "right")
+    for row in report["rows"]:
+        seeds = row["seeds"]
+        shown = ", ".join(map(str, seeds[:MAX_SEEDS_SHOWN]))
+        more = f" and {len(seeds) - MAX_SEEDS_SHOWN} more" if len(seeds) > MAX_SEEDS_SHOWN else ""
+        style = "red" if row["violations"] else None
+        values = [str(row[name]) for name in ("promise", "schedules", "checks", "violations")]
+        table.add_row(*values, shown + more, style=style)
+    console = Console()
+    console.print(table)
+    for item in report["errors"]:
+        console.print(f"seed {item['seed']} could not be run: {item['error']}")
+
+
+def run_variants(seed: int, schedules: int = VARIANT_SCHEDULES) -> list[dict[str, Any]]:
+    """Return for each broken variant its promise and the schedule seed that caught it.
+
+    The seed is None for a variant that no schedule caught.
+    """
+    found = []
+    for name in VARIANTS.names:
+        promise = VARIANTS.get(name).promise
+        caught = None
+        for result in replay(range(seed, seed + schedules), name):
+            if result.findings and result.findings[promise].violations:
+                caught = result.seed
+                break
+        found.append({"variant": name, "promise": promise, "seed": caught})
+    return found
