--- a/src/jayvalve/internal/measure/faults/processes.py
+++ b/src/jayvalve/internal/measure/faults/processes.py
@@ -38,8 +38,8 @@
 LIST_POLL_S = 2.0
 ADAPTER = "simulated"
 # The sweep of engine memory runs more often than in production, so that a schedule stays short.
-MEMORY_IDLE_S = 6.0
-MEMORY_SWEEP_S = 3.0
+MEMORY_IDLE_S = 4.0
+MEMORY_SWEEP_S = 2.0
 DRAIN_S = 20.0
 BALANCER_DELAY_S = 0.5
 
--- a/src/jayvalve/internal/measure/faults/world.py
+++ b/src/jayvalve/internal/measure/faults/world.py
@@ -38,7 +38,7 @@
 SERVICE_LATENCY_S = 0.08
 # After the last fault: time for callers to finish, then time for sweeps of engine memory.
 SETTLE_LIMIT_S = 60.0
-QUIET_S = 12.0
+QUIET_S = 8.0
 
 
 @attrs.define
