--- a/src/jayvalve/internal/entry/app.py
+++ b/src/jayvalve/internal/entry/app.py
@@ -189,7 +189,7 @@
             RetryPolicy(RetryBudget()),
             self._claims,
             runtime.metrics,
-            AttemptIds(runtime.identity.incarnation),
+            AttemptIds(runtime.identity.instance, runtime.identity.incarnation),
             self._observer,
         )
         self._calls = ProgramCalls(self._table, tools, runtime.spawn, self._budget_rule)
