Make routing and token checks cheap at the target size

Each routed call looked up the sidecar of each of 660 endpoints by a sorted scan of all members, and compared capabilities through attrs.astuple; each request was compared with the salted hashes of all organisations. The membership view now keeps its ordered members and an index by address until a change, covers compares field by field, and a token that was found is kept under a keyed hash.

--- a/src/jayvalve/internal/entry/authentication.py
+++ b/src/jayvalve/internal/entry/authentication.py
@@ -3,6 +3,7 @@
 import hashlib
 import hmac
 import secrets
+from collections import OrderedDict
 from collections.abc import Iterable
 
 from jayvalve.errors import UnauthorizedError
@@ -12,6 +13,8 @@
 
 DEFAULT_ORGANISATION = "default"
 SALT_BYTES = 16
+# About 200 bytes each; above the number of organisations of the target.
+MAX_KNOWN_TOKENS = 40_000
 
 
 def hash_token(organisation: str, token: str, salt: str | None = None) -> CallerToken:
@@ -25,10 +28,16 @@
 
 
 class TokenTable:
-    """Maps bearer tokens to organisations."""
+    """Maps bearer tokens to organisations.
+
+    Each caller has its own salt, so a token that was not seen yet is compared with all of
+    them. The result is kept under a keyed hash, from which the token cannot be found.
+    """
 
     def __init__(self, callers: Iterable[CallerToken]) -> None:
         self._callers = list(callers)
+        self._secret = secrets.token_bytes(SALT_BYTES)
+        self._known: OrderedDict[bytes, str] = OrderedDict()
 
     def organisation(self, authorization: str | None) -> str:
         """Return the organisation of an Authorization header.
@@ -43,8 +52,19 @@
         scheme, _, token = (authorization or "").partition(" ")
         if scheme.lower() != "bearer" or not token:
             raise UnauthorizedError("a bearer token is required")
+        name = hmac.digest(self._secret, token.strip().encode(), "sha256")
+        found = self._known.get(name)
+        if found is None:
+            found = self._find(token.strip())
+            if len(self._known) >= MAX_KNOWN_TOKENS:
+                self._known.popitem(last=False)
+        self._known[name] = found
+        self._known.move_to_end(name)
+        return found
+
+    def _find(self, token: str) -> str:
         for caller in self._callers:
-            candidate = hash_token(caller.organisation, token.strip(), caller.salt)
+            candidate = hash_token(caller.organisation, token, caller.salt)
             if hmac.compare_digest(candidate.hash, caller.hash):
                 return caller.organisation
         raise UnauthorizedError("the bearer token is unknown")
--- a/src/jayvalve/internal/membership/view.py
+++ b/src/jayvalve/internal/membership/view.py
@@ -36,6 +36,10 @@
     def __init__(self, identity: Hello) -> None:
         self._identity = identity
         self._records: dict[str, MemberRecord] = {}
+        # Built on demand and dropped by each change: each call that is routed asks for the
+        # member at the address of every endpoint, and each heartbeat for all members.
+        self._ordered: list[Member] | None = None
+        self._addresses: dict[str, Member] | None = None
         self._floors = IncarnationFloors()
         self._subscribers: list[Subscriber] = []
         self._changes: list[MemberChange] = []
@@ -53,7 +57,9 @@
 
     def members(self) -> list[Member]:
         """Return all known members, without this process, ordered by instance."""
-        return [record.member for _, record in sorted(self._records.items())]
+        if self._ordered is None:
+            self._ordered = [record.member for _, record in sorted(self._records.items())]
+        return list(self._ordered)
 
     def get(self, instance: str) -> Member | None:
         """Return the newest known incarnation of the instance."""
@@ -74,8 +80,9 @@
 
     def by_address(self, address: str) -> Member | None:
         """Return the newest member at ``ip:port`` that is not gone."""
-        found = [m for m in self.members() if m.address == address and not m.state.is_gone]
-        return max(found, key=lambda member: member.incarnation, default=None)
+        if self._addresses is None:
+            self._addresses = self._index_addresses()
+        return self._addresses.get(address)
 
     def incarnation_gone(self, instance: str, incarnation: int) -> bool:
         """Return whether this incarnation ended, left or is declared dead.
@@ -200,6 +207,18 @@
         elif silent_s >= SUSPECT_AFTER_S * patience:
             self._set_state(record, MemberState.SUSPECT, now)
 
+    def _index_addresses(self) -> dict[str, Member]:
+        found: dict[str, Member] = {}
+        for member in self.members():
+            known = found.get(member.address)
+            if member.state.is_gone or (known and known.incarnation >= member.incarnation):
+                continue
+            found[member.address] = member
+        return found
+
+    def _drop_indexes(self) -> None:
+        self._ordered = self._addresses = None
+
     def _select(self, role: str | None, states: tuple[MemberState, ...]) -> list[Member]:
         return [
             member
@@ -220,6 +239,7 @@
         if replaced:
             self._announce(attrs.evolve(record.member, state=MemberState.DEAD), record.member)
         self._records[member.instance] = fresh
+        self._drop_indexes()
         self._announce(fresh.member, None)
         return fresh
 
@@ -239,6 +259,7 @@
         lowest = member.incarnation + 1 if record.final else member.incarnation
         self._floors.raise_to(member.instance, lowest)
         del self._records[member.instance]
+        self._drop_indexes()
 
     def _refute(self, update: MemberUpdate) -> None:
         accused = update.state in (MemberState.SUSPECT, MemberState.DEAD)
@@ -299,6 +320,7 @@
         if previous.state is state:
             return
         record.member = attrs.evolve(previous, state=state)
+        self._drop_indexes()
         record.changed_s = now
         self._announce(record.member, previous)
 
--- a/src/jayvalve/internal/routing/views.py
+++ b/src/jayvalve/internal/routing/views.py
@@ -31,8 +31,14 @@
 
     def covers(self, need: "Capability") -> bool:
         """Return whether this capability satisfies the need."""
-        pairs = zip(attrs.astuple(self), attrs.astuple(need), strict=True)
-        return all(not wanted or offered == wanted for offered, wanted in pairs)
+        # Written out, because each routed call asks every capability of every endpoint.
+        return (
+            (not need.model or need.model == self.model)
+            and (not need.adapter or need.adapter == self.adapter)
+            and (not need.version or need.version == self.version)
+            and (not need.role or need.role == self.role)
+            and (not need.service or need.service == self.service)
+        )
 
 
 @attrs.define
--- /dev/null
+++ b/tests/cover/test_scale.py
@@ -0,0 +1,103 @@
+"""Tests of the indexes and caches that keep the cost of a call independent of the size."""
+
+import random
+from unittest import mock
+
+import attrs
+from testtools import TestCase
+from testtools.testcase import ExpectedException
+
+from jayvalve.errors import UnauthorizedError
+from jayvalve.internal.entry import authentication
+from jayvalve.internal.entry.authentication import TokenTable, hash_token
+from jayvalve.internal.membership import Member, MembershipView, MemberState
+from jayvalve.internal.membership.member import MemberUpdate
+from jayvalve.internal.routing import Capability
+from jayvalve.internal.wire.messages import Heartbeat, Hello
+
+STEPS = 3000
+
+
+class AddressIndexTest(TestCase):
+    """The index of a view by address."""
+
+    def test_index_follows_every_change(self):
+        """Guards against a stale index: calls would go to a dead or replaced process."""
+        rng = random.Random(7)
+        view = MembershipView(Hello("self", 1, "entry", "a", "127.0.0.1:1"))
+        now = 0.0
+        for _ in range(STEPS):
+            now += rng.choice([0.1, 1.0, 4.0])
+            self._change(view, rng, now)
+            for port in range(6):
+                address = f"127.0.0.1:{port + 10}"
+                found = [m for m in view.members() if m.address == address and not m.state.is_gone]
+                wanted = max(found, key=lambda member: member.incarnation, default=None)
+                self.assertEqual(wanted, view.by_address(address))
+                if wanted is not None:
+                    self.assertIs(wanted, view.get(wanted.instance))
+
+    def _change(self, view, rng, now):
+        instance, incarnation = f"i{rng.randrange(5)}", rng.randrange(1, 4)
+        address = f"127.0.0.1:{rng.randrange(6) + 10}"
+        hello = Hello(instance, incarnation, "sidecar", "a", address)
+        kind = rng.randrange(5)
+        if kind == 0:
+            view.observe_heartbeat(hello, Heartbeat(1, rng.choice(["live", "draining"])), now)
+        elif kind == 1:
+            view.observe_failure(instance, now)
+        elif kind == 2:
+            state = rng.choice(list(MemberState))
+            update = MemberUpdate(instance, incarnation, state, 0, "sidecar", "a", address)
+            view.observe_updates([update], now)
+        elif kind == 3:
+            listed = Member(instance, incarnation, "sidecar", "a", address)
+            view.observe_list([attrs.evolve(listed, incarnation=rng.choice([0, incarnation]))], now)
+        view.tick(now)
+
+    def test_caller_cannot_change_the_view(self):
+        """Guards against a list of members that is shared with the callers."""
+        view = MembershipView(Hello("self", 1, "entry", "a", "127.0.0.1:1"))
+        view.observe_heartbeat(Hello("b", 1, "entry", "a", "127.0.0.1:2"), Heartbeat(1), 0.0)
+        view.members().clear()
+        self.assertEqual(1, len(view.members()))
+
+
+class TokenTableTest(TestCase):
+    """Tokens that were seen before."""
+
+    def test_known_token_is_compared_once(self):
+        """Guards against a hash for each of 31,000 callers at every request."""
+        table = TokenTable([hash_token(f"org-{n}", f"token-{n}") for n in range(50)])
+        self.assertEqual("org-49", table.organisation("Bearer token-49"))
+        with mock.patch.object(authentication, "hash_token") as hashed:
+            self.assertEqual("org-49", table.organisation("Bearer token-49"))
+        hashed.assert_not_called()
+
+    def test_unknown_token_stays_unknown(self):
+        """Guards against a refused token that is let in at its second use."""
+        table = TokenTable([hash_token("org", "token")])
+        for _ in range(2):
+            with ExpectedException(UnauthorizedError):
+                table.organisation("Bearer other")
+
+    def test_known_tokens_are_bounded(self):
+        """Guards against memory without bound, and against a wrong answer after eviction."""
+        table = TokenTable([hash_token(f"org-{n}", f"token-{n}") for n in range(5)])
+        with mock.patch.object(authentication, "MAX_KNOWN_TOKENS", 2):
+            for number in [*range(5), *range(5)]:
+                self.assertEqual(f"org-{number}", table.organisation(f"Bearer token-{number}"))
+                self.assertLessEqual(len(table._known), 2)
+
+
+class CapabilityTest(TestCase):
+    """Capabilities cover needs field by field."""
+
+    def test_each_field_is_compared(self):
+        """Guards against a field that the comparison leaves out."""
+        names = [field.name for field in attrs.fields(Capability)]
+        full = Capability(**{name: "x" for name in names})
+        self.assertTrue(full.covers(Capability()))
+        self.assertTrue(full.covers(full))
+        for name in names:
+            self.assertFalse(full.covers(Capability(**{name: "y"})), name)
