--- a/src/jayvalve/internal/transport/connection.py
+++ b/src/jayvalve/internal/transport/connection.py
@@ -16,7 +16,7 @@
     error_from_code,
 )
 from jayvalve.internal.timing import Clock
-from jayvalve.internal.transport.framing import read_envelope, write_message
+from jayvalve.internal.transport.framing import FrameWriter, read_envelope, write_message
 from jayvalve.internal.wire import MAX_FRAME_BYTES, Envelope
 from jayvalve.internal.wire.messages import Abandon, Failure, Heartbeat, Hello
 from jayvalve.verdict import Verdict
@@ -38,6 +38,7 @@
 
     def __init__(self, stream: IOStream, peer: Hello, clock: Clock) -> None:
         self._stream = stream
+        self._writer = FrameWriter(stream)
         self._peer = peer
         self._clock = clock
         self._request_ids = itertools.count(1)
@@ -84,6 +85,11 @@
         """Whether the connection takes no more requests."""
         return self._stream.closed()
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a request waits for replies."""
+        return bool(self._waiting)
+
     async def call(self, message: Any, timeout_s: float) -> Any:
         """Send a request and return its only reply."""
         async for reply in self.stream(message, timeout_s):
@@ -139,7 +145,7 @@
 
     async def _send(self, request_id: int, message: Any) -> None:
         try:
-            await write_message(self._stream, request_id, message)
+            await write_message(self._writer, request_id, message)
         except StreamClosedError as error:
             raise PeerUnavailableError(
                 f"connection to {self._peer.instance} is closed", verdict=Verdict.MAY_HAVE_RUN
@@ -175,13 +181,13 @@
 
     async def _send_keepalive(self, sequence: int) -> None:
         try:
-            await write_message(self._stream, 0, Heartbeat(sequence, "keepalive"))
+            await write_message(self._writer, 0, Heartbeat(sequence, "keepalive"))
         except StreamClosedError:
             return
 
     async def _send_abandon(self, request_id: int) -> None:
         try:
-            await write_message(self._stream, request_id, Abandon())
+            await write_message(self._writer, request_id, Abandon())
         except StreamClosedError:
             return
 
