--- a/src/jayvalve/cli.py
+++ b/src/jayvalve/cli.py
@@ -121,7 +121,8 @@
 
 def main() -> None:
     """Run the command line; an error gives one line and exit code 1, or 2 for wrong input."""
-    configure_logging("jayvalve", "WARNING")
+    # Operator commands print one line for an error; warnings about retries would hide it.
+    configure_logging("jayvalve", "ERROR")
     with contextlib.suppress(KeyboardInterrupt):
         try:
             fire.Fire(Commands, name="jayvalve")
--- a/src/jayvalve/internal/operator/observer.py
+++ b/src/jayvalve/internal/operator/observer.py
@@ -14,6 +14,7 @@
 )
 from jayvalve.internal.timing import Clock
 from jayvalve.internal.wire.messages import Chunk, Completed, ResponseHead
+from jayvalve.verdict import Verdict
 
 __all__ = ["CallObservation", "CallObserver"]
 
@@ -94,7 +95,8 @@
         entry.seconds = self._observer.clock.now() - self._started_s
         program = entry.agent if self._root_key is not None else ""
         self._observer.uncertain.observe(self._organisation, program, self._key, entry, verdict)
-        if self._root_key is not None:
+        if self._root_key is not None and verdict == Verdict.RAN:
+            # Refused calls end at once; counting them would make a flood look fast.
             self._observer.timelines.note_end(self._root_key)
 
 
--- a/src/jayvalve/internal/operator/output.py
+++ b/src/jayvalve/internal/operator/output.py
@@ -55,6 +55,4 @@
         return "-"
     if isinstance(value, str):
         return value
-    if isinstance(value, float):
-        return f"{value:.3f}"
     return json.dumps(value, ensure_ascii=False, default=str)
--- a/src/jayvalve/internal/operator/run_commands.py
+++ b/src/jayvalve/internal/operator/run_commands.py
@@ -101,6 +101,8 @@
     for call in item["calls"]:
         moment = datetime.datetime.fromtimestamp(call["started_at"], datetime.UTC)
         started = moment.isoformat(timespec="milliseconds")
+        if call["seconds"] is not None:
+            call = {**call, "seconds": f"{call['seconds']:.3f}"}
         rows.append([started, *(call[name] for name in columns), call["status"], call["code"]])
     title = (
         f"{item['organisation']}/{item['program']}, {item['state']}, {item['rank']}, "
--- a/src/jayvalve/internal/operator/timelines.py
+++ b/src/jayvalve/internal/operator/timelines.py
@@ -85,7 +85,7 @@
             self._timelines.popitem(last=False)
 
     def note_end(self, key: str) -> None:
-        """Record that a call of the program ended now."""
+        """Record that a call of the program has run and ended now."""
         timeline = self._timelines.get(key)
         if timeline is not None:
             timeline.last_end_s = self._clock.now()
@@ -93,8 +93,8 @@
     def end(self, key: str) -> tuple[str, float] | None:
         """End a program and return its rank and its latency in seconds.
 
-        The latency runs from the arrival of the first call to the end of the last one. It is
-        None for a program that had calls at an earlier owner.
+        The latency runs from the arrival of the first call to the end of the last one that ran.
+        It is None for a program of which none ran, or that had calls at an earlier owner.
         """
         timeline = self._timelines.get(key)
         if timeline is None or timeline.state == "ended":
--- a/tests/cover/test_operator_config.py
+++ b/tests/cover/test_operator_config.py
@@ -257,4 +257,4 @@
         with mock.patch("jayvalve.internal.operator.changes.READ_TIMEOUT_S", 0.5):
             code, _, errors = run_cli("config", "show", "--log", nowhere)
         self.assertEqual(1, code)
-        self.assertRegex(errors.splitlines()[-1], "^jayvalve: log_unavailable: ")
+        self.assertRegex(errors, "^jayvalve: log_unavailable: .*\n$")
--- a/tests/cover/test_operator_run.py
+++ b/tests/cover/test_operator_run.py
@@ -6,10 +6,12 @@
 
 from testtools import TestCase
 
-from jayvalve.errors import MayHaveRunError
+from jayvalve.errors import MayHaveRunError, OverloadedError
 from jayvalve.internal.claims import ClaimRelays
+from jayvalve.internal.entry.request import CallRequest
 from jayvalve.internal.log import LogClient
 from jayvalve.internal.operator import timelines
+from jayvalve.internal.operator.observer import CallObserver
 from jayvalve.internal.operator.timelines import CallEntry, ProgramTimelines, UncertainCalls
 from jayvalve.internal.timing import Clock, Deadline, ManualClock
 from jayvalve.internal.wire.messages import ClaimRequest, OutcomeReport
@@ -50,6 +52,19 @@
         self.assertEqual(("urgent", 4.5), table.end("org/p"))
         self.assertEqual({}, table.by_rank())
 
+    def test_program_whose_calls_were_all_refused_gives_no_latency(self):
+        observer = CallObserver(ManualClock())
+        call = CallRequest.from_parts(
+            "POST",
+            "/v1/services/fees/reminders",
+            {"Jayvalve-Program": "p"},
+            b"{}",
+            "org",
+        )
+        observer.begin(call, "org/p", True).note_failure(OverloadedError("flood"))
+        observer.end_program("org/p")
+        self.assertEqual([], observer.slo.document()["series"])
+
     def test_program_that_began_elsewhere_gives_no_latency(self):
         table = ProgramTimelines(ManualClock())
         table.add("org/p", _entry(), False)
@@ -150,8 +165,6 @@
         entry = self.local.deployment.entries[1]
 
         async def fail():
-            from jayvalve.internal.entry.request import CallRequest
-
             call = CallRequest.from_parts(
                 "POST",
                 "/v1/services/deliveries/bookings",
