Require a key for calls declared not repeatable

A service call with Jayvalve-Repeatable: no, on a path that the inventory does not list, and without an Idempotency-Key claimed the empty key: a second such call of the organisation was refused as key_reused, or got the first one's answer. It is now refused with key_required. The new test fails without the change and passes with it.

--- a/src/jayvalve/internal/entry/execution.py
+++ b/src/jayvalve/internal/entry/execution.py
@@ -127,14 +127,15 @@
         if call.service is None:
             return True
         endpoint = self._tools.directory.service(call.service)
-        if any(call.path.startswith(path) for path in endpoint.non_repeatable_paths):
+        listed = any(call.path.startswith(path) for path in endpoint.non_repeatable_paths)
+        if listed or call.declared_repeatable is False:
             if call.key is None:
                 raise KeyRequiredError(
                     f"calls of {call.service}{call.path} may not be repeated and need an "
                     "Idempotency-Key"
                 )
             return False
-        return call.declared_repeatable is not False
+        return True
 
     async def _retry_or_raise(self, error: JayvalveError, attempt: int) -> None:
         decision = self._tools.retries.decide(
--- a/tests/cover/test_operator_run.py
+++ b/tests/cover/test_operator_run.py
@@ -179,6 +179,13 @@
         _, text, _ = run_cli("status", "--entries", self.entries)
         self.assertRegex(text, r"calls that may have run:\n.*\ndefault .* k-9 .* may_have_run")
 
+    def test_call_declared_not_repeatable_needs_a_key_of_its_own(self):
+        # Without a key, all such calls of an organisation shared the claim of the empty key.
+        url = f"{self.local.urls[0]}/v1/services/deliveries/notes"
+        for number in range(2):
+            status, _, body = request(url, {"n": number}, Jayvalve_Repeatable="no")
+            self.assertEqual((400, "key_required"), (status, json.loads(body)["error"]["code"]))
+
     def test_program_timeline_names_place_duration_and_verdict(self):
         answers = [self._chat("timeline-1", Jayvalve_Rank="urgent") for _ in range(2)]
         code, text, _ = run_cli(
