--- a/src/jayvalve/internal/operator/config_commands.py
+++ b/src/jayvalve/internal/operator/config_commands.py
@@ -1,17 +1,24 @@
 """Commands under ``jayvalve config``."""
 
 import asyncio
-import getpass
-import pathlib
 import sys
 from typing import Any
 
 from fire.decorators import SetParseFn
 
+from jayvalve.internal.operator.arguments import (
+    check_timeout,
+    check_version,
+    current_user,
+    load_document,
+    print_changes,
+    print_plan,
+    read_text,
+)
+
 __all__ = ["ConfigCommands"]
 
 EXIT_REFUSED = 1
-MAX_ROLLOUT_WAIT_S = 3600.0
 DEFAULT_ROLLOUT_WAIT_S = 30.0
 
 
@@ -35,9 +42,9 @@
         from jayvalve.internal.operator.output import print_json, write_document
         from jayvalve.internal.schema import parse_json
 
-        chosen = ColumnMapping.from_config(parse_json(_read(mapping), mapping))
-        rules = _document(base).to_value().get("rules") if base else None
-        result = import_inventory(_read(csv), chosen, rules)
+        chosen = ColumnMapping.from_config(parse_json(read_text(mapping), mapping))
+        rules = load_document(base).to_value().get("rules") if base else None
+        result = import_inventory(read_text(csv), chosen, rules)
         for row in result.refused:
             print(f"{csv}: row {row.row}: {row.reason}", file=sys.stderr)
         if output:
@@ -58,7 +65,7 @@
         Args:
             file: Path of the configuration.
         """
-        document = _document(file)
+        document = load_document(file)
         print(f"{file}: valid, {len(document.inventory.endpoints)} endpoints")
 
     @SetParseFn(str, "old", "new")
@@ -73,11 +80,11 @@
         from jayvalve.internal.operator.changes import change_rows
         from jayvalve.internal.operator.output import print_json
 
-        changes = change_rows(_document(old), _document(new))
+        changes = change_rows(load_document(old), load_document(new))
         if json:
             print_json(changes)
         else:
-            _print_changes("changes", changes)
+            print_changes("changes", changes)
 
     @SetParseFn(str, "file", "log")
     def plan(self, file: str, log: str, json: bool = False) -> None:
@@ -91,7 +98,7 @@
         from jayvalve.internal.operator.changes import open_session, plan_document
         from jayvalve.internal.operator.output import print_json
 
-        document = _document(file)
+        document = load_document(file)
 
         async def run() -> dict[str, Any]:
             async with open_session(log) as session:
@@ -101,7 +108,7 @@
         if json:
             print_json(plan)
         else:
-            _print_plan(plan)
+            print_plan(plan)
 
     @SetParseFn(str, "file", "log", "author")
     def publish(self, file: str, expect: int, log: str, author: str = "", json: bool = False):
@@ -117,12 +124,12 @@
             author: Recorded as the author; the user's name by default.
             json: Print JSON.
         """
-        document = _document(file)
-        expected = _version(expect, "--expect", 0)
+        document = load_document(file)
+        expected = check_version(expect, "--expect", 0)
         _run_publish(
             log,
             expected,
-            lambda session: session.publish(document, expected, author or _user()),
+            lambda session: session.publish(document, expected, author or current_user()),
             json,
         )
 
@@ -137,11 +144,14 @@
             author: Recorded as the author; the user's name by default.
             json: Print JSON.
         """
-        wanted, expected = _version(version, "VERSION", 1), _version(expect, "--expect", 1)
+        wanted, expected = (
+            check_version(version, "VERSION", 1),
+            check_version(expect, "--expect", 1),
+        )
         _run_publish(
             log,
             expected,
-            lambda session: session.restore(wanted, expected, author or _user()),
+            lambda session: session.restore(wanted, expected, author or current_user()),
             json,
         )
 
@@ -188,7 +198,7 @@
         from jayvalve.internal.operator.changes import open_session
         from jayvalve.internal.operator.output import print_json, write_document
 
-        wanted = _version(version, "--version", 0)
+        wanted = check_version(version, "--version", 0)
 
         async def run() -> Any:
             async with open_session(log) as session:
@@ -226,8 +236,8 @@
         from jayvalve.internal.operator.output import print_json
         from jayvalve.internal.operator.rollout import wait_for_version
 
-        wanted = _version(version, "VERSION", 1)
-        limit_s = _seconds(timeout)
+        wanted = check_version(version, "VERSION", 1)
+        limit_s = check_timeout(timeout)
         state = asyncio.run(wait_for_version(entry_urls(entries), wanted, limit_s))
         if json:
             print_json({**attrs.asdict(state), "complete": state.complete})
@@ -263,7 +273,7 @@
                     print_json({"conflict": attrs.asdict(conflict)})
                 else:
                     title = f"version {conflict.version} by {conflict.author} changed"
-                    _print_changes(title, conflict.changes)
+                    print_changes(title, conflict.changes)
                 raise error
 
     accepted = asyncio.run(run())
@@ -271,66 +281,3 @@
         print_json({"version": accepted.version, "digest": accepted.digest})
     else:
         print(f"version {accepted.version} is in force")
-
-
-def _print_changes(title: str, changes: list[dict[str, Any]]) -> None:
-    from jayvalve.internal.operator.output import print_table
-
-    rows = [[change["path"], change["before"], change["after"]] for change in changes]
-    print_table(title, ("path", "before", "after"), rows)
-
-
-def _print_plan(plan: dict[str, Any]) -> None:
-    from jayvalve.internal.operator.output import print_table
-
-    print(f"version in force: {plan['version_in_force']}")
-    for title in ("endpoints_added", "endpoints_removed", "capabilities_lost"):
-        heading = title.replace("_", " ")
-        if title == "capabilities_lost":
-            heading = "capabilities that lose their last endpoint"
-        print(f"{heading}: {', '.join(plan[title]) or 'none'}")
-    moved = [list(item.values()) for item in plan["endpoints_moved"]]
-    print_table("endpoints moved", ("endpoint", "what", "before", "after"), moved)
-    print_table("models loaded", ("endpoint", "model"), plan["models_loaded"])
-    print_table("models lost", ("endpoint", "model"), plan["models_lost"])
-    _print_changes("changes", plan["changes"])
-
-
-def _read(path: str) -> str:
-    from jayvalve.errors import InvalidSettingsError
-
-    try:
-        return pathlib.Path(path).read_text(encoding="utf-8-sig")
-    except (OSError, UnicodeDecodeError) as error:
-        raise InvalidSettingsError(f"{path}: cannot be read: {error}") from error
-
-
-def _document(path: str) -> Any:
-    from jayvalve.errors import InvalidSettingsError
-    from jayvalve.internal.configuration import Document
-
-    try:
-        return Document.from_json(_read(path))
-    except InvalidSettingsError as error:
-        message = error.message.removeprefix(f"{path}: ")
-        raise InvalidSettingsError(f"{path}: {message}") from error
-
-
-def _version(value: object, name: str, minimum: int) -> int:
-    from jayvalve.errors import InvalidRequestError
-
-    if type(value) is not int or value < minimum:
-        raise InvalidRequestError(f"{name} takes a version number from {minimum}, not {value!r}")
-    return value
-
-
-def _seconds(value: object) -> float:
-    from jayvalve.errors import InvalidRequestError
-
-    if type(value) not in (int, float) or not 0 <= value <= MAX_ROLLOUT_WAIT_S:
-        raise InvalidRequestError(f"--timeout takes 0 to {MAX_ROLLOUT_WAIT_S:.0f} seconds")
-    return float(value)
-
-
-def _user() -> str:
-    return getpass.getuser()
--- a/src/jayvalve/internal/operator/status.py
+++ b/src/jayvalve/internal/operator/status.py
@@ -20,8 +20,10 @@
     uncertain: list[dict[str, Any]] = []
     calls = programs = 0
     for status in fleet.answers.values():
-        ranks.update(status["programs_by_rank"])
-        uncertain += [{**call, "entry": status["instance"]} for call in status["may_have_run"]]
+        # Entries of an older release do not send these parts.
+        ranks.update(status.get("programs_by_rank", {}))
+        found = status.get("may_have_run", [])
+        uncertain += [{**call, "entry": status["instance"]} for call in found]
         calls += status["calls"]
         programs += status["programs"]
     return {
@@ -46,7 +48,7 @@
         for endpoint in status["endpoints"]:
             known = merged.setdefault(endpoint["name"], {**endpoint, "ejected_by": []})
             for name in ("running", "waiting", "waiting_urgent"):
-                known[name] = max(known[name], endpoint[name])
+                known[name] = max(known.get(name, 0), endpoint.get(name, 0))
             if endpoint["state"] == "ejected":
                 known["ejected_by"].append(status["instance"])
             elif known["state"] == "ejected":
--- a/tests/cover/test_operator_config.py
+++ b/tests/cover/test_operator_config.py
@@ -1,5 +1,6 @@
 """Checks of the commands under ``jayvalve config``."""
 
+import asyncio
 import json
 import pathlib
 import tempfile
@@ -7,7 +8,9 @@
 
 from testtools import TestCase
 
-from jayvalve.errors import InvalidSettingsError
+from jayvalve.errors import InvalidSettingsError, PublishConflictError
+from jayvalve.internal.configuration import Document
+from jayvalve.internal.operator.changes import open_session
 from jayvalve.internal.operator.fleet import FleetAnswers
 from jayvalve.internal.operator.inventory_import import ColumnMapping, import_inventory
 from jayvalve.internal.operator.rollout import rollout_state
@@ -229,6 +232,28 @@
         code, text, _ = run_cli("config", "show", "--log", self.log)
         self.assertEqual((2, "bruno"), (json.loads(text)["version"], json.loads(text)["author"]))
 
+    def test_race_in_the_log_has_one_winner_and_the_loser_sees_it(self):
+        # Both sessions have read version 0 before either appends.
+        documents = [Document.from_json(path.read_text()) for path in (self.first, self.second)]
+        authors = ["anna", "bruno"]
+
+        async def race():
+            async with open_session(self.log) as one, open_session(self.log) as two:
+                results = await asyncio.gather(
+                    one.publish(documents[0], 0, authors[0]),
+                    two.publish(documents[1], 0, authors[1]),
+                    return_exceptions=True,
+                )
+                lost = [isinstance(item, PublishConflictError) for item in results]
+                self.assertEqual([False, True], sorted(lost))
+                loser = lost.index(True)
+                return loser, await (one, two)[loser].conflict(0)
+
+        loser, conflict = asyncio.run(race())
+        self.assertEqual((1, authors[1 - loser]), (conflict.version, conflict.author))
+        after = [change["after"] for change in conflict.changes]
+        self.assertIn(documents[1 - loser].inventory.endpoints[0].data_centre, after)
+
     def test_restore_is_a_new_version_and_history_lists_all(self):
         self._publish(self.first, 0)
         self._publish(self.second, 1)
--- a/tests/cover/test_operator_run.py
+++ b/tests/cover/test_operator_run.py
@@ -11,7 +11,9 @@
 from jayvalve.internal.entry.request import CallRequest
 from jayvalve.internal.log import LogClient
 from jayvalve.internal.operator import timelines
+from jayvalve.internal.operator.fleet import FleetAnswers
 from jayvalve.internal.operator.observer import CallObserver
+from jayvalve.internal.operator.status import merge_status
 from jayvalve.internal.operator.timelines import CallEntry, ProgramTimelines, UncertainCalls
 from jayvalve.internal.timing import Clock, Deadline, ManualClock
 from jayvalve.internal.wire.messages import ClaimRequest, OutcomeReport
@@ -80,6 +82,48 @@
         self.assertEqual(["r2"], [call["request_id"] for call in calls.as_list()])
 
 
+class MergeTest(TestCase):
+    """Guards the merged status against views that differ and releases that differ."""
+
+    def _status(self, name, **endpoint):
+        shown = {"name": "engine-1", "data_centre": "catania", "running": 0, "waiting": 0}
+        return {
+            "instance": name,
+            "role": "entry",
+            "data_centre": "catania",
+            "state": "live",
+            "configuration_version": 1,
+            "members": [],
+            "programs": 1,
+            "calls": 2,
+            "endpoints": [{**shown, **endpoint}],
+        }
+
+    def _merge(self, *statuses):
+        return merge_status(FleetAnswers({item["instance"]: item for item in statuses}, {}))
+
+    def test_ejection_by_one_entry_is_shown_beside_the_state_at_the_others(self):
+        merged = self._merge(
+            self._status("e1", state="ejected", running=3),
+            self._status("e2", state="live", waiting=2),
+        )
+        (endpoint,) = merged["endpoints"]
+        self.assertEqual(("live", ["e1"]), (endpoint["state"], endpoint["ejected_by"]))
+        self.assertEqual((3, 2), (endpoint["running"], endpoint["waiting"]))
+        self.assertEqual((2, 4), (merged["programs"], merged["calls"]))
+
+    def test_endpoint_ejected_by_all_is_ejected(self):
+        merged = self._merge(
+            self._status("e1", state="ejected"), self._status("e2", state="ejected")
+        )
+        self.assertEqual("ejected", merged["endpoints"][0]["state"])
+
+    def test_entry_of_an_older_release_is_merged(self):
+        merged = self._merge(self._status("e1", state="live"))
+        self.assertEqual(({}, []), (merged["programs_by_rank"], merged["may_have_run"]))
+        self.assertEqual(0, merged["endpoints"][0]["waiting_urgent"])
+
+
 class RunCommandTest(TestCase):
     """Guards what the commands show of a deployment that serves calls."""
 
