--- a/tests/cover/test_operator_run.py
+++ b/tests/cover/test_operator_run.py
@@ -1,8 +1,12 @@
 """Checks of status, programs, keys and settle against a running deployment."""
 
 import asyncio
+import contextlib
 import json
+import socket
+import threading
 import uuid
+from unittest import mock
 
 from testtools import TestCase
 
@@ -12,7 +16,7 @@
 from jayvalve.internal.log import LogClient
 from jayvalve.internal.metrics import Histogram
 from jayvalve.internal.operator import timelines
-from jayvalve.internal.operator.fleet import FleetAnswers
+from jayvalve.internal.operator.fleet import FleetAnswers, fetch_all
 from jayvalve.internal.operator.observer import CallObserver
 from jayvalve.internal.operator.status import merge_status
 from jayvalve.internal.operator.timelines import CallEntry, ProgramTimelines, UncertainCalls
@@ -170,6 +174,44 @@
         self.assertEqual(0, merged["endpoints"][0]["waiting_urgent"])
 
 
+class FetchTest(TestCase):
+    """Guards against an entry that hangs or answers nonsense and keeps the others from view."""
+
+    def _serve(self, answer):
+        """Return the URL of a server that sends answer, or nothing at all if it is None."""
+        listener = self.enterContext(socket.create_server(("127.0.0.1", 0)))
+
+        def respond():
+            with contextlib.suppress(OSError):
+                connection, _ = listener.accept()
+                with connection:
+                    connection.recv(65_536)
+                    if answer is None:
+                        connection.settimeout(10.0)
+                        connection.recv(1)
+                    else:
+                        connection.sendall(answer)
+
+        thread = threading.Thread(target=respond, daemon=True)
+        thread.start()
+        return f"http://127.0.0.1:{listener.getsockname()[1]}"
+
+    def test_each_unusable_answer_is_named_and_the_good_one_kept(self):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: "
+        urls = {
+            "good": self._serve(head + b'12\r\n\r\n{"calls": 1}'),
+            "silent": self._serve(None),
+            "nonsense": self._serve(head + b"4\r\n\r\nnone"),
+            "list": self._serve(head + b"2\r\n\r\n[]"),
+            "older": self._serve(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"),
+            "cut": self._serve(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{"),
+        }
+        with mock.patch("jayvalve.internal.operator.fleet.REQUEST_TIMEOUT_S", 0.5):
+            fleet = asyncio.run(fetch_all(list(urls.values()), "/status"))
+        self.assertEqual({urls["good"]: {"calls": 1}}, fleet.answers)
+        self.assertEqual(set(urls.values()) - {urls["good"]}, set(fleet.missing))
+
+
 class RunCommandTest(TestCase):
     """Guards what the commands show of a deployment that serves calls."""
 
