--- a/tests/cover/test_operator_run.py
+++ b/tests/cover/test_operator_run.py
@@ -1,18 +1,27 @@
 """Checks of status, programs, keys and settle against a running deployment."""
 
 import asyncio
+import contextlib
 import json
+import socket
+import threading
 import uuid
+from unittest import mock
 
 from testtools import TestCase
 
-from jayvalve.errors import MayHaveRunError
+from jayvalve.errors import BudgetExceededError, MayHaveRunError, OverloadedError
 from jayvalve.internal.claims import ClaimRelays
+from jayvalve.internal.entry.request import CallRequest
 from jayvalve.internal.log import LogClient
+from jayvalve.internal.metrics import Histogram
 from jayvalve.internal.operator import timelines
+from jayvalve.internal.operator.fleet import FleetAnswers, fetch_all
+from jayvalve.internal.operator.observer import CallObserver
+from jayvalve.internal.operator.status import merge_status
 from jayvalve.internal.operator.timelines import CallEntry, ProgramTimelines, UncertainCalls
 from jayvalve.internal.timing import Clock, Deadline, ManualClock
-from jayvalve.internal.wire.messages import ClaimRequest, OutcomeReport
+from jayvalve.internal.wire.messages import Chunk, ClaimRequest, Completed, OutcomeReport
 from tests.operator_support import DeploymentThread, request, run_cli
 
 NOWHERE = "http://127.0.0.1:9"
@@ -50,6 +59,19 @@
         self.assertEqual(("urgent", 4.5), table.end("org/p"))
         self.assertEqual({}, table.by_rank())
 
+    def test_program_whose_calls_were_all_refused_gives_no_latency(self):
+        observer = CallObserver(ManualClock())
+        call = CallRequest.from_parts(
+            "POST",
+            "/v1/services/fees/reminders",
+            {"Jayvalve-Program": "p"},
+            b"{}",
+            "org",
+        )
+        observer.begin(call, "org/p", True).note_failure(OverloadedError("flood"))
+        observer.end_program("org/p")
+        self.assertEqual([], observer.slo.document()["series"])
+
     def test_program_that_began_elsewhere_gives_no_latency(self):
         table = ProgramTimelines(ManualClock())
         table.add("org/p", _entry(), False)
@@ -65,6 +87,131 @@
         self.assertEqual(["r2"], [call["request_id"] for call in calls.as_list()])
 
 
+class TokenTimeTest(TestCase):
+    """Guards the times to the first token and between tokens against loss and double counts."""
+
+    def _stream(self, parts):
+        clock = ManualClock(1000.0)
+        observer = CallObserver(clock)
+        body = {"model": "m", "messages": [{"role": "user", "content": "?"}], "stream": True}
+        call = CallRequest.from_parts(
+            "POST", "/v1/chat/completions", {}, json.dumps(body).encode(), "org"
+        )
+        observation = observer.begin(call, None, False)
+        observation.note_attempt(1, "engine-1")
+        for gap_s, events in parts:
+            clock.advance(gap_s)
+            observation.note_part(Chunk(0, b'data: {"x": 1}\n\n' * events))
+        observation.note_part(Completed(200, "ran", len(parts), ""))
+        found = {}
+        for series in observer.slo.document()["series"]:
+            histogram = found.setdefault(series["measure"], Histogram())
+            for window in series["windows"]:
+                histogram.merge_encoded(window["histogram"])
+        return found
+
+    def test_each_token_counts_once_with_its_time(self):
+        found = self._stream([(0.3, 1), *[(0.05, 1)] * 100, (0.4, 4)])
+        self.assertAlmostEqual(0.3, found["first_token"].quantile_s(50), delta=0.003)
+        between = found["between_tokens"]
+        # 100 parts of one token after 50 ms each, and one of four tokens after 400 ms.
+        self.assertEqual((104, 100), (between.count, between.count_below(0.068)))
+        self.assertAlmostEqual(0.1, between.quantile_s(100), delta=0.001)
+
+    def test_stream_that_fails_before_its_first_token_misses_the_target(self):
+        observer = CallObserver(ManualClock(1000.0))
+        body = {"model": "m", "messages": [{"role": "user", "content": "?"}], "stream": True}
+        call = CallRequest.from_parts(
+            "POST", "/v1/chat/completions", {}, json.dumps(body).encode(), "org"
+        )
+        observer.begin(call, None, False).note_failure(OverloadedError("flood"))
+        observer.begin(call, None, False).note_failure(BudgetExceededError("spent"))
+        (series,) = observer.slo.document()["series"]
+        histogram = Histogram()
+        histogram.merge_encoded(series["windows"][0]["histogram"])
+        self.assertEqual((1, 0), (histogram.count, histogram.count_below(60.0)))
+
+
+class MergeTest(TestCase):
+    """Guards the merged status against views that differ and releases that differ."""
+
+    def _status(self, name, **endpoint):
+        shown = {"name": "engine-1", "data_centre": "catania", "running": 0, "waiting": 0}
+        return {
+            "instance": name,
+            "role": "entry",
+            "data_centre": "catania",
+            "state": "live",
+            "configuration_version": 1,
+            "members": [],
+            "programs": 1,
+            "calls": 2,
+            "endpoints": [{**shown, **endpoint}],
+        }
+
+    def _merge(self, *statuses):
+        return merge_status(FleetAnswers({item["instance"]: item for item in statuses}, {}))
+
+    def test_ejection_by_one_entry_is_shown_beside_the_state_at_the_others(self):
+        merged = self._merge(
+            self._status("e1", state="ejected", running=3),
+            self._status("e2", state="live", waiting=2),
+        )
+        (endpoint,) = merged["endpoints"]
+        self.assertEqual(("live", ["e1"]), (endpoint["state"], endpoint["ejected_by"]))
+        self.assertEqual((3, 2), (endpoint["running"], endpoint["waiting"]))
+        self.assertEqual((2, 4), (merged["programs"], merged["calls"]))
+
+    def test_endpoint_ejected_by_all_is_ejected(self):
+        merged = self._merge(
+            self._status("e1", state="ejected"), self._status("e2", state="ejected")
+        )
+        self.assertEqual("ejected", merged["endpoints"][0]["state"])
+
+    def test_entry_of_an_older_release_is_merged(self):
+        merged = self._merge(self._status("e1", state="live"))
+        self.assertEqual(({}, []), (merged["programs_by_rank"], merged["may_have_run"]))
+        self.assertEqual(0, merged["endpoints"][0]["waiting_urgent"])
+
+
+class FetchTest(TestCase):
+    """Guards against an entry that hangs or answers nonsense and keeps the others from view."""
+
+    def _serve(self, answer):
+        """Return the URL of a server that sends answer, or nothing at all if it is None."""
+        listener = self.enterContext(socket.create_server(("127.0.0.1", 0)))
+
+        def respond():
+            with contextlib.suppress(OSError):
+                connection, _ = listener.accept()
+                with connection:
+                    connection.recv(65_536)
+                    if answer is None:
+                        connection.settimeout(10.0)
+                        connection.recv(1)
+                    else:
+                        connection.sendall(answer)
+
+        thread = threading.Thread(target=respond, daemon=True)
+        thread.start()
+        return f"http://127.0.0.1:{listener.getsockname()[1]}"
+
+    def test_each_unusable_answer_is_named_and_the_good_one_kept(self):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: "
+        urls = {
+            "good": self._serve(head + b'12\r\n\r\n{"calls": 1}'),
+            "silent": self._serve(None),
+            "nonsense": self._serve(head + b"4\r\n\r\nnone"),
+            "list": self._serve(head + b"2\r\n\r\n[]"),
+            "older": self._serve(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"),
+            "cut": self._serve(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{"),
+        }
+        with mock.patch("jayvalve.internal.operator.fleet.REQUEST_TIMEOUT_S", 0.5):
+            fleet = asyncio.run(fetch_all(list(urls.values()), "/status"))
+        self.assertEqual({urls["good"]: {"calls": 1}}, fleet.answers)
+        self.assertEqual(set(urls.values()) - {urls["good"]}, set(fleet.missing))
+
+
 class RunCommandTest(TestCase):
     """Guards what the commands show of a deployment that serves calls."""
 
@@ -150,8 +297,6 @@
         entry = self.local.deployment.entries[1]
 
         async def fail():
-            from jayvalve.internal.entry.request import CallRequest
-
             call = CallRequest.from_parts(
                 "POST",
                 "/v1/services/deliveries/bookings",
@@ -166,6 +311,13 @@
         _, text, _ = run_cli("status", "--entries", self.entries)
         self.assertRegex(text, r"calls that may have run:\n.*\ndefault .* k-9 .* may_have_run")
 
+    def test_call_declared_not_repeatable_needs_a_key_of_its_own(self):
+        # Without a key, all such calls of an organisation shared the claim of the empty key.
+        url = f"{self.local.urls[0]}/v1/services/deliveries/notes"
+        for number in range(2):
+            status, _, body = request(url, {"n": number}, Jayvalve_Repeatable="no")
+            self.assertEqual((400, "key_required"), (status, json.loads(body)["error"]["code"]))
+
     def test_program_timeline_names_place_duration_and_verdict(self):
         answers = [self._chat("timeline-1", Jayvalve_Rank="urgent") for _ in range(2)]
         code, text, _ = run_cli(
