Limit what ordinary work that ran alone counts against its floor

Cause: ordinary work that ran while no urgent work waited went 20,000 tokens ahead, and got nothing for the first 100 s of an urgent flood. Change: it can be 1,000 tokens ahead; the new test fails with the old bound.

--- a/src/jayvalve/internal/scheduling/fairness.py
+++ b/src/jayvalve/internal/scheduling/fairness.py
@@ -9,8 +9,11 @@
 # Smaller differences of served tokens do not decide between callers, so that the least
 # attained program is chosen among callers that are about even.
 CALLER_QUANTUM_TOKENS = 20_000.0
-# Bounds the service that one rank can be owed, and thereby the longest burst that repays it.
-MAX_BALANCE_TOKENS = 20_000.0
+# Bounds what ordinary work can be owed, and thereby the longest burst that repays it.
+MAX_OWED_TOKENS = 20_000.0
+# Bounds the debt of ordinary work that ran while no urgent work came. With 20,000 tokens it
+# got less than half of its floor in the first minutes of an urgent flood.
+MAX_AHEAD_TOKENS = 1_000.0
 # Counters of idle callers are dropped above this number once they no longer matter.
 MAX_IDLE_CALLERS = 4096
 
@@ -77,7 +80,8 @@
     floor: float = 0.3
     worth_urgent: float = 10.0
     worth_ordinary: float = 1.0
-    max_balance_tokens: float = MAX_BALANCE_TOKENS
+    max_owed_tokens: float = MAX_OWED_TOKENS
+    max_ahead_tokens: float = MAX_AHEAD_TOKENS
     _owed: float = attrs.field(default=0.0, init=False)
 
     @property
@@ -97,7 +101,7 @@
             self._owed -= (1.0 - self.ordinary_share) * tokens
         elif ordinary_waiting:
             self._owed += self.ordinary_share * tokens
-        self._owed = min(self.max_balance_tokens, max(-self.max_balance_tokens, self._owed))
+        self._owed = min(self.max_owed_tokens, max(-self.max_ahead_tokens, self._owed))
 
     def ordinary_idle(self) -> None:
         """Record that no ordinary work waits; it is then owed nothing."""
--- a/tests/cover/test_scheduling.py
+++ b/tests/cover/test_scheduling.py
@@ -110,6 +110,19 @@
         share = served[ORDINARY] / sum(served.values())
         self.assertTrue(0.3 * 0.95 <= share <= 0.35, share)
 
+    def test_floor_holds_soon_after_ordinary_work_ran_alone(self):
+        """Guards against work done while no urgent work came being held against the floor."""
+        queue = EndpointQueue(QueueSettings(max_waiting=4000))
+        for i in range(1000):
+            queue.offer(call(("before", i), cost_tokens=100.0), 0.0)
+        for _ in range(1000):
+            queue.take(0.0)
+        for i in range(300):
+            for rank in Rank:
+                queue.offer(call((rank, i), rank, cost_tokens=100.0), 0.0)
+        ranks = [queue.take(1.0).rank for _ in range(250)]
+        self.assertGreaterEqual(ranks[100:].count(ORDINARY), 0.3 * 0.95 * 150)
+
     def test_urgent_first_while_ordinary_has_its_floor(self):
         """Guards against urgent work that waits during an ordinary flood."""
         queue = EndpointQueue()
