Keep programs at the endpoint that has their prefix

Cause: an endpoint without the prefix counted as near equal, and the cost of a rebuild left out what it takes from other calls. Change: rebuilds count three times, and only endpoints with as much of the prefix are near equal.

--- a/src/jayvalve/internal/routing/policies.py
+++ b/src/jayvalve/internal/routing/policies.py
@@ -25,6 +25,9 @@
 # Costs that differ by less than this are equal for practical purposes.
 NEAR_EQUAL_S = 0.02
 NEAR_EQUAL_RATIO = 0.1
+# A rebuild also delays the other calls of the batch and evicts other prefixes, so it costs
+# more than the time that the call itself waits for it.
+REBUILD_WEIGHT = 3.0
 DEFAULT_DISTANCE_S = 0.002
 
 
@@ -131,21 +134,26 @@
     near equal ones two are drawn at random and the less occupied one is taken.
     """
 
-    def cost_s(self, call: RoutingCall, view: EndpointView, now: float) -> float:
-        """Return the expected seconds before the endpoint can generate the first token."""
+    def rebuild_s(self, call: RoutingCall, view: EndpointView, now: float) -> float:
+        """Return the expected seconds to compute the part of the prefix not cached there."""
         cached = self._cache.cached_tokens(view.name, call.prefix, now)
-        rebuild_s = (call.prefix.total_tokens - cached) / view.rebuild_tokens_per_s
-        distance_s = 2.0 * self._distances.to(view.data_centre)
-        return distance_s + view.load.queue_delay_s(call.urgent) + rebuild_s
+        return (call.prefix.total_tokens - cached) / view.rebuild_tokens_per_s
 
     def choose(
         self, call: RoutingCall, candidates: Sequence[EndpointView], now: float
     ) -> EndpointView:
         """Return the better of two random candidates among the near equal ones."""
-        costs = [(self.cost_s(call, view, now), view) for view in candidates]
-        least = min(cost for cost, _ in costs)
+        costs = []
+        for view in candidates:
+            rebuild_s = self.rebuild_s(call, view, now)
+            wait_s = 2.0 * self._distances.to(view.data_centre)
+            wait_s += view.load.queue_delay_s(call.urgent)
+            costs.append((wait_s + REBUILD_WEIGHT * rebuild_s, rebuild_s, view))
+        least, least_rebuild_s, _ = min(costs, key=lambda cost: cost[:2])
         bound = least + max(NEAR_EQUAL_S, NEAR_EQUAL_RATIO * least)
-        near = [view for cost, view in costs if cost <= bound]
+        # An endpoint without the prefix is no equal of one that has it.
+        rebuild_bound = least_rebuild_s + NEAR_EQUAL_S
+        near = [v for cost, rebuild, v in costs if cost <= bound and rebuild <= rebuild_bound]
         if len(near) > 2:
             near = self._rng.sample(near, 2)
         return min(near, key=lambda view: view.load.occupancy)
--- a/src/jayvalve/internal/routing/views.py
+++ b/src/jayvalve/internal/routing/views.py
@@ -31,8 +31,13 @@
 
     def covers(self, need: "Capability") -> bool:
         """Return whether this capability satisfies the need."""
-        pairs = zip(attrs.astuple(self), attrs.astuple(need), strict=True)
-        return all(not wanted or offered == wanted for offered, wanted in pairs)
+        return (
+            (not need.model or self.model == need.model)
+            and (not need.adapter or self.adapter == need.adapter)
+            and (not need.version or self.version == need.version)
+            and (not need.role or self.role == need.role)
+            and (not need.service or self.service == need.service)
+        )
 
 
 @attrs.define
