Drop paused prefixes only when memory is needed, latest next call first

Cause: dropping at the start of a pause wasted prefixes that would have fitted, and the least recently used order ignores what is known of the tools.

--- a/src/jayvalve/internal/measure/endpoint.py
+++ b/src/jayvalve/internal/measure/endpoint.py
@@ -8,7 +8,7 @@
 
 from jayvalve.internal.measure.candidates import Candidate
 from jayvalve.internal.measure.engine_model import ContinuousBatch, EngineSettings, PrefixCache
-from jayvalve.internal.pauses import MemoryCosts, PauseDecision, PausePolicy
+from jayvalve.internal.pauses import MemoryCosts, PauseDecision, PausedPrefixes, PausePolicy
 from jayvalve.internal.routing import CacheEvent, CacheEventKind
 from jayvalve.internal.scheduling import (
     AdmissionControl,
@@ -73,6 +73,9 @@
         self._candidate = candidate
         self._schedule = schedule
         self._on_end = on_end
+        self._paused = PausedPrefixes()
+        if candidate.manages_memory and next_use is None:
+            next_use = self._expected_wait_s
         cache = PrefixCache(settings.cache_tokens, next_use, self._cache_changed)
         self.engine = ContinuousBatch(settings, cache)
         queue_settings = QueueSettings(max_waiting=candidate.max_waiting)
@@ -95,6 +98,7 @@
             self._admission.check(attempt.queued, now, self._memory_shares())
         self.queue.offer(attempt.queued, now)
         call = attempt.call
+        self._paused.resume(call.agent)
         needed = call.prefix_tokens + call.new_tokens + call.output_tokens
         self._committed[call.agent] = (call.rank, needed)
         self._fill(now)
@@ -138,8 +142,11 @@
         self._on_end(attempt, "failed" if failed else "done", now)
         self._fill(now)
 
-    def pause(self, agent: str, tool: str, policy: PausePolicy) -> None:
-        """Decide what happens to an agent's KV cache during a tool pause."""
+    def pause(self, agent: str, tool: str, policy: PausePolicy, now: float) -> None:
+        """Decide what happens to an agent's KV cache during a tool pause.
+
+        The decision to drop takes effect when another prefix needs the memory.
+        """
         settings, cache = self.engine.settings, self.engine.cache
         costs = MemoryCosts(
             rebuild_tokens_per_s=settings.prefill_tokens_per_s,
@@ -148,15 +155,17 @@
             free_tokens=cache.free_tokens,
             export_free_tokens=self.engine.export_free_tokens,
         )
-        decision = policy.decide(tool, cache.tokens(agent), costs)
-        if decision is PauseDecision.DROP:
-            self.engine.release(agent)
-        elif decision is PauseDecision.EXPORT:
+        self._paused.pause(agent, tool, policy, now)
+        if policy.decide(tool, cache.tokens(agent), costs) is PauseDecision.EXPORT:
             self.engine.export(agent)
 
+    def _expected_wait_s(self, agent: str) -> float:
+        return self._paused.expected_wait_s(agent, self._now)
+
     def moved(self, agent: str) -> None:
         """Record that an agent continues at another endpoint, or has ended."""
         self._committed.pop(agent, None)
+        self._paused.resume(agent)
 
     def release(self, agent: str) -> None:
         """Drop the memory of an agent that has ended."""
--- a/src/jayvalve/internal/pauses/__init__.py
+++ b/src/jayvalve/internal/pauses/__init__.py
@@ -1,6 +1,15 @@
 """KV cache during tool pauses, and moves of programs."""
 
 from jayvalve.internal.pauses.moves import Move, MovePlanner, MoveTimes
+from jayvalve.internal.pauses.paused import PausedPrefixes
 from jayvalve.internal.pauses.policy import MemoryCosts, PauseDecision, PausePolicy
 
-__all__ = ["MemoryCosts", "Move", "MovePlanner", "MoveTimes", "PauseDecision", "PausePolicy"]
+__all__ = [
+    "MemoryCosts",
+    "Move",
+    "MovePlanner",
+    "MoveTimes",
+    "PauseDecision",
+    "PausePolicy",
+    "PausedPrefixes",
+]
