--- a/tests/cover/test_pauses.py
+++ b/tests/cover/test_pauses.py
@@ -12,6 +12,7 @@
     MovePlanner,
     MoveTimes,
     PauseDecision,
+    PausedPrefixes,
     PausePolicy,
 )
 from jayvalve.internal.pauses.durations import PauseDurations
@@ -117,3 +118,21 @@
         ]
         chosen = [move.program for move in MovePlanner(times).plan(moves)]
         self.assertEqual(["leaving", "gain"], chosen)
+
+
+class PausedPrefixesTest(TestCase):
+    def test_latest_expected_call_is_dropped_first(self):
+        """Guards against dropping a prefix that is needed soon, and one that is in use."""
+        policy = PausePolicy()
+        for _ in range(10):
+            policy.observe("lookup", 1.0)
+            policy.observe("approval", 100.0)
+        paused = PausedPrefixes()
+        paused.pause("short", "lookup", policy, 0.0)
+        paused.pause("long", "approval", policy, 0.0)
+        self.assertEqual(
+            ["long", "short", "busy"], paused.by_next_use(["busy", "short", "long"], 0)
+        )
+        self.assertEqual(["short", "long"], paused.by_next_use(["long", "short"], 99.5))
+        paused.resume("long")
+        self.assertEqual(["short", "long"], paused.by_next_use(["long", "short"], 0.0))
