--- a/src/jayvalve/internal/routing/cache_view.py
+++ b/src/jayvalve/internal/routing/cache_view.py
@@ -11,8 +11,10 @@
 
 # Cache views older than this are ignored (docs/design.md section 3.8).
 AGE_LIMIT_S = 30.0
-# A gap may hide an eviction, so each gap halves the trust in what was known before it.
-GAP_CONFIDENCE = 0.5
+# A gap may hide an eviction, so each gap lowers the trust in what was known before it. A lost
+# batch covers about a second, in which few prefixes are evicted; a factor of 0.5 made
+# programs leave endpoints that still had their prefix.
+GAP_CONFIDENCE = 0.9
 MAX_ENTRIES_PER_ENDPOINT = 20_000
 
 
