--- a/src/jayvalve/internal/scheduling/fairness.py
+++ b/src/jayvalve/internal/scheduling/fairness.py
@@ -13,7 +13,7 @@
 MAX_OWED_TOKENS = 20_000.0
 # Bounds the debt of ordinary work that ran while no urgent work came. With 20,000 tokens it
 # got less than half of its floor in the first minutes of an urgent flood.
-MAX_AHEAD_TOKENS = 1_000.0
+MAX_AHEAD_TOKENS = 300.0
 # Counters of idle callers are dropped above this number once they no longer matter.
 MAX_IDLE_CALLERS = 4096
 
