Measure the backlog of starts at the full rate

Cause: at the rate of the floor one waiting ordinary call exceeded the limit of 1 s, so that the ordinary queue ran empty during an urgent flood. Change: the limit applies to the backlog at the full rate.

--- a/src/jayvalve/internal/scheduling/admission.py
+++ b/src/jayvalve/internal/scheduling/admission.py
@@ -26,9 +26,9 @@
         rank_share: Most of ``max_waiting`` that one rank may take, so that a flood of one
             rank leaves room for the other.
         floor: Share of service guaranteed to ordinary work.
-        start_wait_s: Longest expected wait at which calls that start a program are taken.
-            A refused start wastes nothing, whereas refusing a later call wastes what its
-            program has already received.
+        start_wait_s: Longest backlog of the call's rank, at the full rate, at which calls
+            that start a program are taken. A refused start wastes nothing, whereas refusing
+            a later call wastes what its program has already received.
         memory_share: Share of the engine's memory that histories of programs in progress may
             need before starts are refused. Beyond it programs evict one another's prefixes
             between turns. A rank whose own programs need less than its guaranteed part of it
@@ -126,7 +126,10 @@
             )
         if not call.starts_program:
             return
-        if wait_s > settings.start_wait_s:
+        # Measured at the full rate: at the rate of the floor, one waiting call already exceeds
+        # the limit, and the rank's queue runs empty between calls.
+        backlog_s = self._queue.waiting_tokens(call.rank) / self._rate.tokens_per_s
+        if backlog_s > settings.start_wait_s:
             raise OverloadedError(
                 f"expected wait {wait_s:.1f} s is too long to start a program",
                 retry_after_s=self._hint_s(wait_s),
