--- a/src/jayvalve/internal/scheduling/fairness.py
+++ b/src/jayvalve/internal/scheduling/fairness.py
@@ -9,7 +9,7 @@
 # Smaller differences of served tokens do not decide between callers, so that the least
 # attained program is chosen among callers that are about even.
 CALLER_QUANTUM_TOKENS = 20_000.0
-# Bounds what ordinary work can be owed, and thereby the longest burst that repays it.
+# Bounds what one rank can be owed, and thereby the longest burst that repays it.
 MAX_OWED_TOKENS = 20_000.0
 # Bounds the debt of ordinary work that ran while no urgent work came. With 20,000 tokens it
 # got less than half of its floor in the first minutes of an urgent flood.
@@ -95,13 +95,20 @@
         """Tokens that ordinary work is owed; negative if it is ahead."""
         return self._owed
 
-    def charge(self, rank: Rank, tokens: float, ordinary_waiting: bool) -> None:
-        """Count tokens served to a rank."""
-        if rank is Rank.ORDINARY:
-            self._owed -= (1.0 - self.ordinary_share) * tokens
-        elif ordinary_waiting:
-            self._owed += self.ordinary_share * tokens
-        self._owed = min(self.max_owed_tokens, max(-self.max_ahead_tokens, self._owed))
+    def charge(self, rank: Rank, tokens: float, other_waiting: bool) -> None:
+        """Count tokens served to a rank; ``other_waiting`` tells if the other one has calls.
+
+        Ordinary work that runs while no urgent work waits repays what it is owed and goes
+        ahead by ``max_ahead_tokens`` at most.
+        """
+        if rank is Rank.URGENT:
+            if other_waiting:
+                self._owed += self.ordinary_share * tokens
+        else:
+            least = -float("inf") if other_waiting else min(self._owed, -self.max_ahead_tokens)
+            self._owed = max(least, self._owed - (1.0 - self.ordinary_share) * tokens)
+        bound = self.max_owed_tokens
+        self._owed = min(bound, max(-bound, self._owed))
 
     def ordinary_idle(self) -> None:
         """Record that no ordinary work waits; it is then owed nothing."""
--- a/src/jayvalve/internal/scheduling/queue.py
+++ b/src/jayvalve/internal/scheduling/queue.py
@@ -144,7 +144,8 @@
         rank = self._balance.next_rank(len(urgent) > 0, len(ordinary) > 0)
         call = self._ranks[rank].take(now)
         self._forget(call)
-        self._balance.charge(rank, call.cost_tokens, len(ordinary) > 0)
+        other = ordinary if rank is Rank.URGENT else urgent
+        self._balance.charge(rank, call.cost_tokens, len(other) > 0)
         if not len(ordinary):
             self._balance.ordinary_idle()
         return call
@@ -168,7 +169,8 @@
         """Replace the estimated service of a taken call by the actual one."""
         difference = served_tokens - call.cost_tokens
         self._ranks[call.rank].correct(call.caller, difference)
-        self._balance.charge(call.rank, difference, self.waiting(Rank.ORDINARY) > 0)
+        other = Rank.ORDINARY if call.rank is Rank.URGENT else Rank.URGENT
+        self._balance.charge(call.rank, difference, self.waiting(other) > 0)
 
     def _set_expired_aside(self, now: float) -> None:
         while (call_id := self._deadlines.next_expired(now)) is not None:
