--- a/src/jayvalve/cli.py
+++ b/src/jayvalve/cli.py
@@ -102,6 +102,31 @@
         if not run_demo():
             sys.exit(EXIT_FAILED)
 
+    def measure(
+        self,
+        experiment: str,
+        seed: int = 1,
+        output: str = "",
+        plot: str = "",
+        schedules: int = 1000,
+        variant: str = "",
+        quick: bool = False,
+    ) -> None:
+        """Run an experiment; exit code 1 if an expected figure is missed.
+
+        Args:
+            experiment: Name of an experiment, all, faults, capacity or overhead.
+            seed: First seed; the same seed repeats the same schedules.
+            output: JSON file for the rows.
+            plot: PNG or SVG file for a plot of the experiment.
+            schedules: Number of fault schedules.
+            variant: Broken variant for the fault search to catch.
+            quick: Use short runs, whose figures only show that the experiment works.
+        """
+        from jayvalve.internal.measure.command import measure
+
+        measure(experiment, seed, output, plot, schedules, variant, quick)
+
     def standin(self, kind: str, config: str = "", port: int = 0) -> None:
         """Run a stand-in for a service of the platform, for tests and demos.
 
