Let the simulated streams of the fault search return futures

Cause: the joined writes of the transport call write() without awaiting it, and the simulated stream's write was a coroutine that then never ran; every message was lost.

--- a/src/jayvalve/internal/measure/faults/network.py
+++ b/src/jayvalve/internal/measure/faults/network.py
@@ -133,11 +133,14 @@
         del pipe.buffer[:count]
         return data
 
-    async def write(self, data: bytes) -> None:
-        """Send bytes."""
+    def write(self, data: bytes) -> "asyncio.Future[None]":
+        """Send bytes; the future is done at once, as the simulated buffer has no bound."""
         if self.closed():
             raise StreamClosedError()
         self._outgoing.send(data)
+        written = asyncio.get_running_loop().create_future()
+        written.set_result(None)
+        return written
 
 
 class Network:
