Test the scenario language and the transcripts

Cause: an interpreter that passes over a misspelt step would prove nothing. Change: tests that each step is known, that unknown steps and incomplete heads are errors, and that a transcript shows a changed verdict.

--- /dev/null
+++ b/tests/cover/test_scenario_language.py
@@ -0,0 +1,59 @@
+"""Tests of the scenario language itself."""
+
+import os
+import pathlib
+import tempfile
+from unittest import mock
+
+from lark.exceptions import UnexpectedInput
+from testtools import ExpectedException, TestCase
+
+from tests.scenarios import transcript
+from tests.scenarios.caller import Reply, Request
+from tests.scenarios.expectations import EXPECTATIONS
+from tests.scenarios.interpreter import _Run
+from tests.scenarios.language import HEAD_FIELDS, load_scenario, parse_steps
+from tests.scenarios.transcript import Transcript
+
+DIRECTORY = pathlib.Path(__file__).parents[1] / "scenarios"
+
+
+class LanguageTest(TestCase):
+    def test_every_step_of_every_scenario_can_run(self) -> None:
+        """Guard against a step of the grammar that the interpreter does not know."""
+        for path in DIRECTORY.glob("*.scenario"):
+            for tree in load_scenario(path).steps.children:
+                known = tree.data in EXPECTATIONS or hasattr(_Run, f"_{tree.data}")
+                self.assertTrue(known, f"{path.name}: {tree.data}")
+
+    def test_unknown_steps_are_errors(self) -> None:
+        """Guard against a misspelt step or expectation that is passed over."""
+        for line in ("expct runs a = 1", "expect runs a", "change a via b", "together\nready"):
+            self.assertRaises(UnexpectedInput, parse_steps, line)
+
+    def test_head_is_required(self) -> None:
+        """Guard against a scenario that does not say what it guards against."""
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory) / "a.scenario"
+            path.write_text(f"# {HEAD_FIELDS[0]}: P1\nready\n", encoding="utf-8")
+            with ExpectedException(ValueError, ".*lacks fault, guards against, fails without"):
+                load_scenario(path)
+
+
+class TranscriptTest(TestCase):
+    def test_difference_shows_a_changed_verdict_and_hides_volatile_values(self) -> None:
+        """Guard against a comparison that passes everything or fails on each run."""
+
+        def session(created: int, verdict: str) -> Transcript:
+            made = Transcript()
+            reply = Reply(200, {"Jayvalve-Verdict": verdict}, b'{"created": %d}' % created)
+            made.add(Request("GET", "/a", {}), reply)
+            return made
+
+        with tempfile.TemporaryDirectory() as directory:
+            golden = mock.patch.object(transcript, "DIRECTORY", pathlib.Path(directory))
+            with golden, mock.patch.dict(os.environ, {"UPDATE_GOLDEN": "1"}):
+                session(1, "ran").difference("a")
+            with golden, mock.patch.dict(os.environ, {"UPDATE_GOLDEN": ""}):
+                self.assertEqual("", session(2, "ran").difference("a"))
+                self.assertIn("+Jayvalve-Verdict: not_run", session(1, "not_run").difference("a"))
