Load every endpoint in leaving_sidecar and wait for a link before it goes silent

Change: 24 changes arrive at once (times N sends them together), and silence waits up to 5 s for a connection.

--- a/tests/scenarios/interpreter.py
+++ b/tests/scenarios/interpreter.py
@@ -21,6 +21,8 @@
 
 DEFAULT_PATIENCE_S = 40.0
 DEFAULT_MAX_TOKENS = 16
+CONNECT_LIMIT_S = 5.0
+POLL_S = 0.02
 MODEL_PATH = "/v1/chat/completions"
 
 
@@ -127,14 +129,18 @@
         options = _Options.read(rest)
         plan = self.world.deployment.deployment
         path = f"/v1/services/{plan.service}{plan.change_path}"
-        for number in range(1, options.times + 1):
-            name = key if options.times == 1 else f"{key}-{number}"
+
+        async def send(name: str) -> None:
             headers = {**options.headers, "Jayvalve-Request": name}
             if not options.keyless:
                 headers["Idempotency-Key"] = name
             body = {"order": options.body or name}
             await self._send(entry, Request("POST", path, headers, body), options)
 
+        numbers = range(1, options.times + 1)
+        names = [key] if options.times == 1 else [f"{key}-{number}" for number in numbers]
+        await asyncio.gather(*map(send, names))
+
     async def _query(self, path: str, entry: str, expects: Tree[Any]) -> None:
         await self._send(entry, Request("GET", path, {}), _Options.read([expects]))
 
@@ -194,7 +200,10 @@
 
     async def _silence(self, source: str, target: str) -> None:
         proxy = self.world.deployment.proxy(self.world.resolve(target))
-        assert proxy.silence(self.world.resolve(source)), f"{source} has no connection to {target}"
+        # Processes connect to each other within some heartbeats of the start.
+        async with asyncio.timeout(CONNECT_LIMIT_S):
+            while not proxy.silence(self.world.resolve(source)):
+                await asyncio.sleep(POLL_S)
 
     async def _restore(self, source: str, target: str) -> None:
         self.world.deployment.proxy(self.world.resolve(target)).restore(self.world.resolve(source))
