Measure the time from an owner's SIGKILL to the next served turn

Change: internal/measure/recovery.py kills the owner of N programs in a process deployment and repeats their next turn through the other entries. The proxy of the scenarios closes a late connection 1 s after its late bytes.

--- a/src/jayvalve/internal/measure/recovery.py
+++ b/src/jayvalve/internal/measure/recovery.py
@@ -10,7 +10,6 @@
 import pathlib
 import tempfile
 import time
-from typing import Any
 
 import attrs
 import fire
@@ -179,8 +178,8 @@
         return await run.run(end_s)
 
 
-def _main(programs: int = 1, seconds: float = DEFAULT_SECONDS) -> dict[str, Any]:
-    return attrs.asdict(asyncio.run(measure_recovery(programs, seconds)))
+def _main(programs: int = 1, seconds: float = DEFAULT_SECONDS) -> str:
+    return json.dumps(attrs.asdict(asyncio.run(measure_recovery(programs, seconds))))
 
 
 if __name__ == "__main__":
--- a/tests/scenarios/network.py
+++ b/tests/scenarios/network.py
@@ -13,6 +13,9 @@
 
 LAUNCHER = pathlib.Path(__file__).with_name("shifted.py")
 CHUNK_BYTES = 65_536
+# A process that reads a late message and the end of its connection at the same moment may drop
+# the message; the end therefore follows later.
+LATE_CLOSE_S = 1.0
 
 
 class _Connection:
@@ -22,6 +25,7 @@
         self.source = source
         self.flowing = asyncio.Event()
         self.flowing.set()
+        self.was_silent = False
 
     async def pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Forward one direction until its end; the end of a silent connection waits, too."""
@@ -31,6 +35,8 @@
                 writer.write(data)
                 await writer.drain()
         await self.flowing.wait()
+        if self.was_silent:
+            await asyncio.sleep(LATE_CLOSE_S)
         writer.close()
 
 
@@ -63,6 +69,7 @@
         found = [item for item in self._connections if item.source == source]
         for connection in found:
             connection.flowing.clear()
+            connection.was_silent = True
         return len(found)
 
     def restore(self, source: str) -> None:
