--- a/src/jayvalve/internal/measure/records.py
+++ b/src/jayvalve/internal/measure/records.py
@@ -41,7 +41,10 @@
         self.end_s = now
 
     def censor(self, now: float) -> None:
-        """Record that the program was unfinished at the end of the run."""
+        """Count the program as unfinished until the end of the run, also if it was given up.
+
+        Otherwise refusing programs would lower the latency of a candidate.
+        """
         self.end_s = now
 
 
@@ -74,8 +77,8 @@
     ) -> list[float]:
         """Return latencies of the programs that arrived in a time span.
 
-        A program that was given up or is unfinished counts with the time until then, unless
-        only completed programs are asked for.
+        A program that was given up or is unfinished counts with the time to the end of the
+        run, unless only completed programs are asked for.
         """
         return [
             record.latency_s
--- a/src/jayvalve/internal/measure/world.py
+++ b/src/jayvalve/internal/measure/world.py
@@ -178,7 +178,7 @@
             self._now = now
             function(*arguments, now)
         for record in self.records.programs:
-            if record.end_s is None:
+            if not record.completed:
                 record.censor(until_s)
         return self.records
 
--- a/tests/cover/test_measure.py
+++ b/tests/cover/test_measure.py
@@ -113,6 +113,17 @@
         self.assertGreater(len(records.retry_times), 0)
 
 
+class RecordsTest(TestCase):
+    def test_refusing_programs_does_not_lower_the_latency(self):
+        """Guards against refused programs that count with the short time until they gave up."""
+        world = World(workloads.get("acquaviva"), candidates.get("round_robin"), ENGINE, 1)
+        work = programs(base_phase("acquaviva", 4.0, 60.0))
+        records = world.run(work, [], 500.0)
+        given_up = [record for record in records.programs if not record.completed]
+        self.assertGreater(len(given_up), 0)
+        self.assertEqual({500.0}, {record.end_s for record in given_up})
+
+
 class RetryTokensTest(TestCase):
     def test_retries_are_bounded_by_the_share(self):
         """Guards against retries that multiply the load when everything fails."""
--- a/tests/cover/test_scheduling.py
+++ b/tests/cover/test_scheduling.py
@@ -257,6 +257,23 @@
         self.assertRaises(OverloadedError, self.admission.check, start, 0.0)
         self.admission.check(call("y"), 0.0)
 
+    def test_committed_memory_does_not_shut_the_other_rank_out(self):
+        """Guards against urgent starts refused because an ordinary flood holds the memory."""
+        shares = {ORDINARY: 0.9, URGENT: 0.1}
+        start = call("x", starts_program=True)
+        self.assertRaises(OverloadedError, self.admission.check, start, 0.0, shares)
+        self.admission.check(call("y", URGENT, starts_program=True), 0.0, shares)
+
+    def test_retry_hint_grows_with_the_share_of_refused_starts(self):
+        """Guards against callers of a flood that come back as one crowd."""
+        shares = {ORDINARY: 0.9}
+        hints = []
+        for i in range(200):
+            start = call(i, starts_program=True)
+            error = self.assertRaises(OverloadedError, self.admission.check, start, 0.0, shares)
+            hints.append(error.retry_after_s)
+        self.assertGreater(hints[-1], 5.0 * hints[0])
+
     def test_wait_of_urgent_work_ignores_the_ordinary_backlog(self):
         """Guards against urgent work refused because ordinary work floods."""
         self.fill(ORDINARY, 40, 5000.0)
