Count processes that are believed dead as silent in lookups

Cause: a lookup asked only the members that the entry's view held for live. An entry that was cut off from all others asked itself alone, took the program for unknown and told callers so, or created it a second time with a copy set of one; after the link was back, the histories had parted.

Ruled out: lost copies. In the traces the owner and both copies lived, and other entries served the program at the same time.

Change: the lookup counts all processes that have not ended for good. Those believed dead are not asked, so a lookup takes no longer, but count as silent. More than one silent process is accepted only if all are in one data centre, so that the loss of a data centre does not stop new programs.

--- a/src/jayvalve/internal/entry/app.py
+++ b/src/jayvalve/internal/entry/app.py
@@ -135,6 +135,8 @@
             self._clock,
             entries=self._entry_holders,
             has_ended=self._has_ended,
+            known=self._known_holders,
+            is_gone=self._is_gone,
         )
         self._placement = ProgramPlacement(
             self._settings.instance,
@@ -347,6 +349,16 @@
             for member in self._runtime.view.usable()
         ]
 
+    def _known_holders(self) -> list[tuple[str, str]]:
+        """Return all processes that have not ended for good, with their data centres."""
+        members = [
+            (holder_name(m.instance, m.incarnation), m) for m in self._runtime.view.members()
+        ]
+        return [(name, m.data_centre) for name, m in members if not self._has_ended(name)]
+
+    def _is_gone(self, name: str) -> bool:
+        return self._runtime.view.incarnation_gone(*split_holder_name(name))
+
     def _entry_holders(self) -> list[str]:
         """Return the names of the processes that may own programs."""
         members = self._runtime.view.usable(ROLE)
--- a/src/jayvalve/internal/programs/acquisition.py
+++ b/src/jayvalve/internal/programs/acquisition.py
@@ -29,7 +29,8 @@
 # Deployments up to the first size are asked as a whole, larger ones up to the second.
 SMALL_DEPLOYMENT = 16
 LOOKUP_PROCESSES = 8
-# A program has at least two living holders, so one silent process cannot hide it.
+# A program has at least two living holders, so one silent process cannot hide it. They are in
+# two data centres if there are two, so neither can all silent processes of one data centre.
 MAX_SILENT = 1
 # Each round follows one more change of the copy set; changes are minutes apart.
 MAX_ROUNDS = 8
@@ -64,18 +65,25 @@
 
 
 class CopyReader:
-    """Reads copies on behalf of one process; peers returns the names of live processes."""
+    """Reads copies on behalf of one process.
+
+    peers returns the data centres of the processes that may hold copies and have not ended for
+    good, by name. is_gone tells which of them are believed dead: they are not asked, but
+    count as silent, because they may only be cut off from this process.
+    """
 
     def __init__(
         self,
         store: CopyStore,
         send: Send,
-        peers: Callable[[], Iterable[str]],
+        peers: Callable[[], dict[str, str]],
         has_ended: Callable[[str], bool] = lambda name: False,
+        is_gone: Callable[[str], bool] = lambda name: False,
     ) -> None:
         self._store = store
         self._send = send
         self._peers = peers
+        self._is_gone = is_gone
         self._has_ended = has_ended
 
     async def lookup(self, key: str) -> Location | None:
@@ -85,22 +93,25 @@
             OwnerUnavailableError: nobody knows it, but too few answered.
 
         """
-        names = rendezvous_order(key, {self._store.holder, *self._peers()})
-        asked = names if len(names) <= SMALL_DEPLOYMENT else names[:LOOKUP_PROCESSES]
+        centres = self._peers()
+        names = rendezvous_order(key, {self._store.holder, *centres})
+        chosen = names if len(names) <= SMALL_DEPLOYMENT else names[:LOOKUP_PROCESSES]
+        asked = [name for name in chosen if not self._is_gone(name)]
         states = await self._ask(key, asked, Term(0), promise=False)
+        silent = frozenset(chosen) - states.keys()
         found = [state for state in states.values() if state.found]
         if not found:
-            silent = len(asked) - len(states)
-            if silent > MAX_SILENT or silent >= len(states):
+            spread = {centres.get(name, name) for name in silent}
+            may_hide = len(silent) > MAX_SILENT and len(spread) > 1
+            if may_hide or len(silent) >= len(states):
                 raise OwnerUnavailableError(
-                    f"{len(states)} of {len(asked)} processes answered for {key}"
+                    f"{len(states)} of {len(chosen)} processes answered for {key}"
                 )
             return None
         best = max(found, key=_rank)
         ended = any(state.ended for state in found)
         sets = [] if ended else self._sets(key, best)
         owner = best.members[0] if best.members else ""
-        silent = frozenset(asked) - states.keys()
         return Location(owner, max(map(_promised, states.values())), sets, ended, silent)
 
     def can_gather(self, location: Location) -> bool:
--- a/src/jayvalve/internal/programs/ownership.py
+++ b/src/jayvalve/internal/programs/ownership.py
@@ -49,7 +49,9 @@
     A record that is acknowledged is in every later owner's history. Names of processes in
     peers and in copy sets differ between two lifetimes of a process, see CopyStore. entries
     returns the names of the processes that may own programs; the default takes all. has_ended
-    tells whether a process has ended for good, so that it can acknowledge nothing more.
+    tells whether a process has ended for good, so that it can acknowledge nothing more. known
+    returns also the processes that are believed dead and have not ended for good, with their
+    data centres; the default takes those in peers.
     """
 
     def __init__(
@@ -62,6 +64,8 @@
         clock: Clock,
         entries: Callable[[], Iterable[str]] | None = None,
         has_ended: Callable[[str], bool] = lambda name: False,
+        known: Peers | None = None,
+        is_gone: Callable[[str], bool] = lambda name: False,
     ) -> None:
         self._store = store
         self._centre = data_centre
@@ -73,7 +77,8 @@
         self._owned: dict[str, OwnedProgram] = {}
         self._locks = KeyLocks()
         self._has_ended = has_ended
-        self._reader = CopyReader(store, send, self._centres, has_ended)
+        self._known = known or peers
+        self._reader = CopyReader(store, send, self._known_centres, has_ended, is_gone)
 
     @property
     def epoch(self) -> int | None:
@@ -305,6 +310,9 @@
     def _centres(self) -> dict[str, str]:
         return {**dict(self._peers()), self._store.holder: self._centre}
 
+    def _known_centres(self) -> dict[str, str]:
+        return {**dict(self._known()), self._store.holder: self._centre}
+
     def _require(self, key: str) -> OwnedProgram:
         owned = self._owned.get(key)
         if owned is None or owned.handing_over:
--- /dev/null
+++ b/tests/cover/test_program_lookup.py
@@ -0,0 +1,32 @@
+"""Tests of the decision that a program exists nowhere."""
+
+from jayvalve.errors import OwnerUnavailableError
+from jayvalve.internal.programs.acquisition import CopyReader
+from jayvalve.internal.programs.copies import CopyStore
+from jayvalve.internal.timing import ManualClock
+from jayvalve.internal.wire.messages import CopyState
+from tests.support import AsyncTestCase
+
+CENTRES = {"a#1": "x", "b#1": "y", "c#1": "z", "d#1": "x", "e#1": "y", "f#1": "z"}
+
+
+class LookupTest(AsyncTestCase):
+    def lookup(self, gone):
+        async def send(name, message, timeout_s):
+            return CopyState(False, members=[name])
+
+        store = CopyStore("a#1", ManualClock())
+        reader = CopyReader(store, send, lambda: CENTRES, is_gone=lambda name: name in gone)
+        return self.run_async(reader.lookup("club/p"))
+
+    def test_an_entry_that_is_cut_off_does_not_deny_a_program(self):
+        """Its view holds all others for dead, and it told callers that programs were unknown."""
+        self.assertRaises(OwnerUnavailableError, self.lookup, CENTRES.keys() - {"a#1"})
+
+    def test_two_silent_data_centres_may_hide_a_program(self):
+        """Both of its living holders may be there."""
+        self.assertRaises(OwnerUnavailableError, self.lookup, {"b#1", "c#1"})
+
+    def test_a_lost_data_centre_cannot_hide_a_program(self):
+        """Otherwise no program could start until the data centre is back."""
+        self.assertIsNone(self.lookup({"c#1", "f#1"}))
