--- a/src/jayvalve/internal/measure/faults/checks.py
+++ b/src/jayvalve/internal/measure/faults/checks.py
@@ -96,6 +96,7 @@
         name = program.plan.name
         if program.lost and program.acknowledged:
             yield f"{name} is not known any more"
+        yield from _check_known(world, program)
         expected = program.history(name)
         if program.final_history is not None and expected is not None:
             same = program.final_history == expected
@@ -109,6 +110,27 @@
             )
 
 
+def _check_known(world: World, program: ProgramCaller) -> Iterator[str | None]:
+    """Check that no entry denies a program that has acknowledged turns."""
+    name = program.plan.name
+    answered = [
+        item.ended_s
+        for item in world.callers.submissions
+        if item.program == name and item.outcome == "answer" and item.ended_s is not None
+    ]
+    for item in world.callers.submissions:
+        if item.program != name or item.kind == "control" or not answered:
+            continue
+        denied = item.code == "program_unknown" and item.started_s > min(answered)
+        yield (
+            None
+            if not denied
+            else (
+                f"{item.tag} was told at {item.ended_s:.3f} by {item.entry} that {name} is unknown"
+            )
+        )
+
+
 def _check_prompts(world: World, program: ProgramCaller) -> Iterator[str | None]:
     for agent, runs in _by_agent(world).items():
         if agent.split(".")[0] != program.plan.name:
