Let a replaced owner notice before it reports a program as active

Cause: an entry that was cut off while another entry took its program over kept the program in its table until its next write.

Ruled out: the new owner's release.

Change: an entry that is asked for the state of a program that it owns first asks the other members of the copy set, with a write of no records, whether they know a higher term. The programs of one question are checked at the same time, so that a silent member does not use up the time for all of them.

--- a/src/jayvalve/internal/entry/app.py
+++ b/src/jayvalve/internal/entry/app.py
@@ -308,11 +308,15 @@
 
         @handlers.on(ProgramQuery)
         async def states(context: PeerContext, message: ProgramQuery) -> ProgramStates:
-            found = [await self._program_state(key) for key in message.programs]
-            return ProgramStates(found)
+            found = await asyncio.gather(*map(self._program_state, message.programs))
+            return ProgramStates(list(found))
 
     async def _program_state(self, key: str) -> str:
         identity = ProgramId.from_key(key)
+        if self._table.get(identity) is not None:
+            # An owner that was cut off may not have noticed that it was replaced.
+            with contextlib.suppress(JayvalveError):
+                await self._table.confirm(identity)
         if self._table.get(identity) is not None:
             return "active"
         try:
--- a/src/jayvalve/internal/programs/copy_writer.py
+++ b/src/jayvalve/internal/programs/copy_writer.py
@@ -1,6 +1,7 @@
 """Replication of one program's records from its owner to the copy set."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable, Iterable
 
 from loguru import logger
@@ -193,6 +194,28 @@
         if not taught():
             raise HistoryUnavailableError(f"new members {learners} did not take the history")
 
+    async def confirm(self, timeout_s: float) -> None:
+        """Ask the other members whether they know a higher term; silent ones are left out.
+
+        Raises:
+            StaleTermError: a member has seen a higher term.
+
+        """
+        top = self._store.promised(self._program)
+        if top > self._term:
+            self._fence = top
+        self._check()
+        message = self._message(self._count, [])
+
+        async def ask(name: str) -> None:
+            with contextlib.suppress(JayvalveError, TimeoutError):
+                ack = await self._send(name, message, timeout_s)
+                if ack.reason == "stale_term":
+                    self._on_refusal(name, ack)
+
+        await asyncio.gather(*(ask(name) for name in self.members if name != self._store.holder))
+        self._check()
+
     def _committed(self, count: int) -> bool:
         if self._fence is not None:
             return False
--- a/src/jayvalve/internal/programs/ownership.py
+++ b/src/jayvalve/internal/programs/ownership.py
@@ -38,6 +38,8 @@
 Peers = Callable[[], Iterable[tuple[str, str]]]
 
 WRITE_TIMEOUT_S = 2.0
+# Shorter than the time that a sidecar waits for the states of its programs.
+CONFIRM_TIMEOUT_S = 1.0
 HAND_OVER_TIMEOUT_S = 5.0
 
 _log = logger.bind(part="ownership")
@@ -140,6 +142,17 @@
         with self._dropping_stale(identity.root.key, owned):
             await owned.append(record, timeout_s)
 
+    async def confirm(self, identity: ProgramId, timeout_s: float = CONFIRM_TIMEOUT_S) -> None:
+        """Drop the program if another entry has taken it over meanwhile.
+
+        Raises:
+            StaleTermError: another entry owns the program; it is dropped here.
+
+        """
+        owned = self._require(identity.root.key)
+        with self._dropping_stale(identity.root.key, owned):
+            await owned.writer.confirm(timeout_s)
+
     async def take_over(self, identity: ProgramId) -> Program:
         """Become the owner of a program whose owner is gone.
 
--- a/tests/cover/test_program_lookup.py
+++ b/tests/cover/test_program_lookup.py
@@ -1,10 +1,14 @@
 """Tests of the decision that a program exists nowhere."""
 
-from jayvalve.errors import OwnerUnavailableError
+from testtools import ExpectedException
+
+from jayvalve.errors import OwnerUnavailableError, StaleTermError
 from jayvalve.internal.programs.acquisition import CopyReader
 from jayvalve.internal.programs.copies import CopyStore
 from jayvalve.internal.timing import ManualClock
 from jayvalve.internal.wire.messages import CopyState
+from tests.cover.test_programs_ownership import ClusterTest
+from tests.fakes_network import PROGRAM
 from tests.support import AsyncTestCase
 
 CENTRES = {"a#1": "x", "b#1": "y", "c#1": "z", "d#1": "x", "e#1": "y", "f#1": "z"}
@@ -30,3 +34,22 @@
     def test_a_lost_data_centre_cannot_hide_a_program(self):
         """Otherwise no program could start until the data centre is back."""
         self.assertIsNone(self.lookup({"c#1", "f#1"}))
+
+
+class ConfirmTest(ClusterTest):
+    def test_an_owner_that_was_cut_off_notices_that_it_was_replaced(self):
+        """It told sidecars that an ended program was active, so its memory was never freed."""
+        processes = self.start()
+
+        async def body():
+            owner = await self.create()
+            await owner.table.confirm(PROGRAM)
+            self.assertIsNotNone(owner.table.get(PROGRAM))
+            # The successor reaches the other members, but not the old owner.
+            self.network.blocked = {("a", "d"), ("d", "a")}
+            await self.checker.take_over(processes["d"], PROGRAM)
+            with ExpectedException(StaleTermError):
+                await owner.table.confirm(PROGRAM)
+            self.assertIsNone(owner.table.get(PROGRAM))
+
+        self.run_body(body())
