--- a/src/jayvalve/internal/entry/app.py
+++ b/src/jayvalve/internal/entry/app.py
@@ -147,6 +147,8 @@
             self._clock,
             entries=self._entry_holders,
             has_ended=self._has_ended,
+            known=self._known_holders,
+            is_gone=self._is_gone,
         )
         self._placement = ProgramPlacement(
             self._settings.instance,
@@ -342,11 +344,15 @@
 
         @handlers.on(ProgramQuery)
         async def states(context: PeerContext, message: ProgramQuery) -> ProgramStates:
-            found = [await self._program_state(key) for key in message.programs]
-            return ProgramStates(found)
+            found = await asyncio.gather(*map(self._program_state, message.programs))
+            return ProgramStates(list(found))
 
     async def _program_state(self, key: str) -> str:
         identity = ProgramId.from_key(key)
+        if self._table.get(identity) is not None:
+            # An owner that was cut off may not have noticed that it was replaced.
+            with contextlib.suppress(JayvalveError):
+                await self._table.confirm(identity)
         if self._table.get(identity) is not None:
             return "active"
         try:
@@ -383,6 +389,16 @@
             for member in self._runtime.view.usable()
         ]
 
+    def _known_holders(self) -> list[tuple[str, str]]:
+        """Return all processes that have not ended for good, with their data centres."""
+        members = [
+            (holder_name(m.instance, m.incarnation), m) for m in self._runtime.view.members()
+        ]
+        return [(name, m.data_centre) for name, m in members if not self._has_ended(name)]
+
+    def _is_gone(self, name: str) -> bool:
+        return self._runtime.view.incarnation_gone(*split_holder_name(name))
+
     def _entry_holders(self) -> list[str]:
         """Return the names of the processes that may own programs."""
         members = self._runtime.view.usable(ROLE)
