--- a/src/jayvalve/internal/transport/connection.py
+++ b/src/jayvalve/internal/transport/connection.py
@@ -1,6 +1,7 @@
 """Client side of one connection to another process."""
 
 import asyncio
+import contextlib
 import itertools
 import ssl
 from collections.abc import AsyncIterator
@@ -92,8 +93,10 @@
 
     async def call(self, message: Any, timeout_s: float) -> Any:
         """Send a request and return its only reply."""
-        async for reply in self.stream(message, timeout_s):
-            return reply
+        # Left to the garbage collector, each generator would be closed in a task of its own.
+        async with contextlib.aclosing(self.stream(message, timeout_s)) as replies:
+            async for reply in replies:
+                return reply
         raise PeerUnavailableError("the peer sent no reply", verdict=Verdict.MAY_HAVE_RUN)
 
     async def stream(self, message: Any, timeout_s: float) -> AsyncIterator[Any]:
--- a/src/jayvalve/internal/transport/pool.py
+++ b/src/jayvalve/internal/transport/pool.py
@@ -1,6 +1,7 @@
 """Connections to other processes, one for each address."""
 
 import asyncio
+import contextlib
 import ssl
 from collections.abc import AsyncIterator
 from typing import Any
@@ -76,8 +77,9 @@
     async def stream(self, address: str, message: Any, timeout_s: float) -> AsyncIterator[Any]:
         """Send a request and yield its replies; errors as for call."""
         connection = await self.connection(address)
-        async for reply in connection.stream(message, timeout_s):
-            yield reply
+        async with contextlib.aclosing(connection.stream(message, timeout_s)) as replies:
+            async for reply in replies:
+                yield reply
 
     async def _close_idle(self) -> None:
         now = self._clock.now()
--- a/tests/cover/test_transport.py
+++ b/tests/cover/test_transport.py
@@ -1,14 +1,15 @@
 """Checks of the connections between processes."""
 
 import asyncio
+from unittest import mock
 
 from tornado.netutil import bind_sockets
 from tornado.tcpclient import TCPClient
 
 from jayvalve.errors import OverloadedError, PeerUnavailableError
-from jayvalve.internal.timing import Clock, ManualClock
+from jayvalve.internal.timing import Clock
 from jayvalve.internal.transport import HandlerTable, PeerPool, PeerServer
-from jayvalve.internal.transport.pool import IDLE_LIMIT_S
+from jayvalve.internal.transport import pool as pool_module
 from jayvalve.internal.wire import HEADER
 from jayvalve.internal.wire.messages import (
     Accepted,
@@ -79,13 +80,11 @@
         """Guards against a connection, with its descriptors, for every peer ever probed."""
 
         async def scenario():
-            clock = ManualClock()
             servers = [await start_server() for _ in range(3)]
-            pool = PeerPool(hello("client"), clock)
-            waiting = asyncio.ensure_future(pool.call(servers[0][1], Cancel("0.3"), 5.0))
-            await asyncio.sleep(0.1)
+            pool = PeerPool(hello("client"), Clock())
+            waiting = asyncio.ensure_future(pool.call(servers[0][1], Cancel("1.2"), 5.0))
             await pool.call(servers[1][1], Cancel("0"), 5.0)
-            clock.advance(IDLE_LIMIT_S + 1)
+            await asyncio.sleep(0.6)
             await pool.call(servers[2][1], Cancel("0"), 5.0)
             kept = pool.connection_count
             answer = await waiting
@@ -95,7 +94,11 @@
                 await server.close()
             return kept, answer.status, again.status
 
-        self.assertEqual((2, 300, 0), self.run_async(scenario()))
+        with (
+            mock.patch.object(pool_module, "IDLE_LIMIT_S", 0.3),
+            mock.patch.object(pool_module, "SWEEP_INTERVAL_S", 0.0),
+        ):
+            self.assertEqual((2, 1200, 0), self.run_async(scenario()))
 
     def test_stream_ends_with_final_reply(self):
         async def scenario():
