--- a/src/jayvalve/internal/runtime.py
+++ b/src/jayvalve/internal/runtime.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import socket
-import ssl
 import time
 from collections.abc import Coroutine
 from typing import Any
@@ -22,6 +21,7 @@
 from jayvalve.internal.metrics import Metrics
 from jayvalve.internal.settings import Settings
 from jayvalve.internal.timing import Clock
+from jayvalve.internal.tls import TlsContexts, TlsFiles
 from jayvalve.internal.transport import HandlerTable, PeerPool, PeerServer
 from jayvalve.internal.wire.messages import Hello
 
@@ -65,6 +65,7 @@
         self._stack = contextlib.AsyncExitStack()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._log = logger.bind(part=role, instance=settings.instance)
+        self._tls = TlsFiles.from_config(settings.tls) if settings.tls else None
         self._peer_sockets, peer_address = _bind(settings.peer_address)
         self._http_sockets, self._http_address = _bind(settings.http_address)
         self._identity = Hello(
@@ -77,7 +78,9 @@
         self.handlers = HandlerTable()
         self.metrics = Metrics()
         self.view = MembershipView(self._identity)
-        self.pool = PeerPool(self._identity, self._clock)
+        self._servers: list[PeerServer | HTTPServer] = []
+        client = self._tls.contexts.client if self._tls else None
+        self.pool = PeerPool(self._identity, self._clock, client)
 
     @property
     def settings(self) -> Settings:
@@ -119,7 +122,6 @@
         application: Application,
         source: HeartbeatSource,
         listener: Any = None,
-        ssl_options: ssl.SSLContext | None = None,
     ) -> None:
         """Start the servers, the failure detector and the instance list poller."""
         detector = Detector(
@@ -133,12 +135,15 @@
         )
         detector.register(self.handlers)
         self._stack.push_async_callback(self.pool.close)
-        server = PeerServer(self._identity, self.handlers)
+        contexts = self._tls.contexts if self._tls else None
+        server = PeerServer(
+            self._identity, self.handlers, contexts.server if contexts is not None else None
+        )
         server.add_sockets(self._peer_sockets)
         self._stack.push_async_callback(server.close)
         http_server = HTTPServer(
             application,
-            ssl_options=ssl_options,
+            ssl_options=contexts.callers if contexts is not None else None,
             max_body_size=self._settings.max_body_bytes,
             xheaders=False,
         )
@@ -146,6 +151,9 @@
         self._stack.push_async_callback(http_server.close_all_connections)
         self._stack.callback(http_server.stop)
         self._stack.push_async_callback(self._cancel_tasks)
+        self._servers = [server, http_server]
+        if self._tls is not None:
+            self.spawn(self._tls.run(self._use_contexts))
         self.spawn(detector.run())
         if self._settings.instance_list_url is not None:
             url = f"{self._settings.instance_list_url}/instances"
@@ -170,6 +178,13 @@
             with contextlib.suppress(OSError):
                 bound.close()
 
+    def _use_contexts(self, contexts: TlsContexts) -> None:
+        # The servers read ssl_options for each connection that they accept.
+        peer_server, http_server = self._servers
+        peer_server.ssl_options = contexts.server
+        http_server.ssl_options = contexts.callers
+        self.pool.use_ssl_options(contexts.client)
+
     def _finish(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
--- a/src/jayvalve/internal/transport/connection.py
+++ b/src/jayvalve/internal/transport/connection.py
@@ -70,6 +70,9 @@
                 reply = (await read_envelope(stream)).message
         except (OSError, TimeoutError, StreamClosedError, InvalidFrameError) as error:
             reason = str(error) or type(error).__name__
+            tls_failed = isinstance(getattr(error, "real_error", None), ssl.SSLError)
+            if isinstance(error, StreamClosedError) and not tls_failed:
+                reason = "closed before Hello; check that both sides use TLS or neither does"
             raise PeerUnavailableError(f"cannot connect to {address}: {reason}") from error
         if not isinstance(reply, Hello):
             stream.close()
--- a/src/jayvalve/internal/transport/pool.py
+++ b/src/jayvalve/internal/transport/pool.py
@@ -41,6 +41,10 @@
         """Number of connections that are kept."""
         return len(self._connections)
 
+    def use_ssl_options(self, ssl_options: ssl.SSLContext) -> None:
+        """Use other certificates for the connections that are opened from now on."""
+        self._ssl_options = ssl_options
+
     async def connection(self, address: str) -> PeerConnection:
         """Return an open connection to ``ip:port``.
 
--- a/src/jayvalve/internal/transport/server.py
+++ b/src/jayvalve/internal/transport/server.py
@@ -63,8 +63,13 @@
         try:
             context = await self._exchange_hello(stream)
             await self._read_requests(stream, context, tasks)
-        except StreamClosedError:
-            pass
+        except StreamClosedError as error:
+            if isinstance(error.real_error, ssl.SSLError):
+                self._log.warning(
+                    "refused a connection from {}: TLS handshake failed: {}",
+                    address,
+                    error.real_error.reason,
+                )
         except (InvalidFrameError, TimeoutError) as error:
             self._log.warning("closed a connection from {}: {}", address, error)
             await self._report_invalid_frame(stream, error)
