Read all frames that have arrived with one read

Each frame took two reads of the stream, for its length and its content. A reader for each connection now takes what has arrived and cuts it into frames.

--- a/src/jayvalve/internal/transport/connection.py
+++ b/src/jayvalve/internal/transport/connection.py
@@ -17,7 +17,12 @@
     error_from_code,
 )
 from jayvalve.internal.timing import Clock
-from jayvalve.internal.transport.framing import FrameWriter, read_envelope, write_message
+from jayvalve.internal.transport.framing import (
+    FrameReader,
+    FrameWriter,
+    read_envelope,
+    write_message,
+)
 from jayvalve.internal.wire import MAX_FRAME_BYTES, Envelope
 from jayvalve.internal.wire.messages import Failure, Heartbeat, Hello
 from jayvalve.verdict import Verdict
@@ -154,9 +159,10 @@
             ) from error
 
     async def _read_replies(self) -> None:
+        reader = FrameReader(self._stream)
         try:
             while True:
-                envelope = await read_envelope(self._stream)
+                envelope = await reader.read()
                 self._last_received_s = self._clock.now()
                 replies = self._waiting.get(envelope.request_id)
                 # A reply to a request that was given up is dropped here, so that it can never
--- a/src/jayvalve/internal/transport/framing.py
+++ b/src/jayvalve/internal/transport/framing.py
@@ -18,7 +18,48 @@
 )
 from jayvalve.internal.wire.messages import Failure
 
-__all__ = ["FrameWriter", "failure_from_error", "read_envelope", "write_message", "write_reply"]
+__all__ = [
+    "FrameReader",
+    "FrameWriter",
+    "failure_from_error",
+    "read_envelope",
+    "write_message",
+    "write_reply",
+]
+
+
+# One read of the kernel's buffer usually holds several frames.
+READ_BYTES = 64 * 1024
+
+
+class FrameReader:
+    """Reads the frames after the Hello exchange of a connection.
+
+    All frames that have arrived are taken with one read; two reads for each frame, of its
+    length and its content, cost more than decoding it.
+    """
+
+    def __init__(self, stream: IOStream) -> None:
+        self._stream = stream
+        self._buffer = bytearray()
+
+    async def read(self) -> Envelope:
+        """Return the next frame; errors as for read_envelope."""
+        while (envelope := self._next()) is None:
+            self._buffer += await self._stream.read_bytes(READ_BYTES, partial=True)
+        return envelope
+
+    def _next(self) -> Envelope | None:
+        if len(self._buffer) < HEADER.size:
+            return None
+        (length,) = HEADER.unpack_from(self._buffer)
+        _check_length(length)
+        end = HEADER.size + length
+        if len(self._buffer) < end:
+            return None
+        data = bytes(self._buffer[HEADER.size : end])
+        del self._buffer[:end]
+        return decode(data)
 
 
 class FrameWriter:
@@ -57,6 +98,13 @@
             self._written = self._stream.write(b"".join(frames))
 
 
+def _check_length(length: int) -> None:
+    if length > MAX_FRAME_BYTES:
+        raise InvalidFrameError(
+            f"frame of {length} bytes announced, at most {MAX_FRAME_BYTES} are allowed"
+        )
+
+
 async def read_envelope(stream: IOStream) -> Envelope:
     """Read one frame.
 
@@ -66,10 +114,7 @@
 
     """
     (length,) = HEADER.unpack(await stream.read_bytes(HEADER.size))
-    if length > MAX_FRAME_BYTES:
-        raise InvalidFrameError(
-            f"frame of {length} bytes announced, at most {MAX_FRAME_BYTES} are allowed"
-        )
+    _check_length(length)
     return decode(await stream.read_bytes(length))
 
 
--- a/src/jayvalve/internal/transport/server.py
+++ b/src/jayvalve/internal/transport/server.py
@@ -12,6 +12,7 @@
 
 from jayvalve.errors import InternalError, InvalidFrameError, JayvalveError
 from jayvalve.internal.transport.framing import (
+    FrameReader,
     FrameWriter,
     failure_from_error,
     read_envelope,
@@ -96,9 +97,9 @@
     async def _read_requests(
         self, stream: IOStream, context: PeerContext, tasks: set[asyncio.Task[None]]
     ) -> None:
-        writer = FrameWriter(stream)
+        reader, writer = FrameReader(stream), FrameWriter(stream)
         while True:
-            envelope = await read_envelope(stream)
+            envelope = await reader.read()
             task = asyncio.ensure_future(
                 self._answer(writer, envelope.request_id, context, envelope.message)
             )
--- a/tests/cover/test_frame_writer.py
+++ b/tests/cover/test_frame_writer.py
@@ -1,11 +1,14 @@
-"""Tests of the joined writes of frames."""
+"""Tests of the joined writes and reads of frames."""
 
 import asyncio
 
 from testtools.testcase import ExpectedException
 from tornado.iostream import StreamClosedError
 
-from jayvalve.internal.transport.framing import FrameWriter
+from jayvalve.errors import InvalidFrameError
+from jayvalve.internal.transport.framing import FrameReader, FrameWriter
+from jayvalve.internal.wire import HEADER, MAX_FRAME_BYTES, encode
+from jayvalve.internal.wire.messages import Cancel
 from tests.support import AsyncTestCase
 
 
@@ -83,3 +86,49 @@
 
         with ExpectedException(StreamClosedError):
             self.run_async(scenario())
+
+
+class PartStream:
+    """Delivers the given parts, one for each read."""
+
+    def __init__(self, parts):
+        self.parts = list(parts)
+
+    async def read_bytes(self, count, partial):
+        if not self.parts:
+            raise StreamClosedError
+        return self.parts.pop(0)
+
+
+class FrameReaderTest(AsyncTestCase):
+    """Frames that arrive together or in pieces."""
+
+    def read(self, parts):
+        async def scenario():
+            reader = FrameReader(PartStream(parts))
+            found = []
+            try:
+                while True:
+                    envelope = await reader.read()
+                    found.append((envelope.request_id, envelope.message.attempt_id))
+            except StreamClosedError:
+                return found
+
+        return self.run_async(scenario())
+
+    def test_any_cut_gives_the_same_frames(self):
+        """Guards against frames lost, joined or read twice at the edge of a read."""
+        data = b"".join(encode(number, 0, Cancel("a" * number)) for number in range(4))
+        wanted = [(number, "a" * number) for number in range(4)]
+        for size in range(1, len(data) + 1):
+            parts = [data[start : start + size] for start in range(0, len(data), size)]
+            self.assertEqual(wanted, self.read(parts))
+
+    def test_cut_frame_is_not_delivered(self):
+        """Guards against a message made of the first part of a frame."""
+        self.assertEqual([], self.read([encode(1, 0, Cancel("a"))[:-1]]))
+
+    def test_too_long_frame_is_refused_before_it_arrives(self):
+        """Guards against a peer that fills the memory."""
+        with ExpectedException(InvalidFrameError):
+            self.read([HEADER.pack(MAX_FRAME_BYTES + 1)])
