Check identifiers with one pattern

Profile: 15,400 checks for 400 calls of programs, character by character, took more time than any other function of ours. Refused identifiers take the old path, so the errors are unchanged.

--- a/src/jayvalve/internal/validation.py
+++ b/src/jayvalve/internal/validation.py
@@ -1,5 +1,6 @@
 """Validators that name the argument they reject."""
 
+import re
 from typing import TypeVar
 
 from jayvalve.errors import InvalidRequestError
@@ -10,6 +11,8 @@
 
 MAX_IDENTIFIER_LENGTH = 128
 _IDENTIFIER_EXTRA = frozenset("-_.:@")
+# Accepts what check_identifier accepts; a call of a program checks about 40 identifiers.
+_IDENTIFIER = re.compile(rf"[A-Za-z0-9_.:@-]{{1,{MAX_IDENTIFIER_LENGTH}}}")
 
 
 def check_type(expected: type[T], value: object, name: str) -> T:
@@ -34,6 +37,8 @@
     Identifiers appear in logs, paths and hash keys, so only letters, digits and ``-_.:@``
     are allowed, up to 128 characters.
     """
+    if isinstance(value, str) and _IDENTIFIER.fullmatch(value):
+        return value
     text = check_type(str, value, name)
     if not 1 <= len(text) <= MAX_IDENTIFIER_LENGTH:
         raise InvalidRequestError(
--- a/tests/cover/test_scale.py
+++ b/tests/cover/test_scale.py
@@ -1,18 +1,20 @@
 """Tests of the indexes and caches that keep the cost of a call independent of the size."""
 
 import random
+import string
 from unittest import mock
 
 import attrs
 from testtools import TestCase
 from testtools.testcase import ExpectedException
 
-from jayvalve.errors import UnauthorizedError
+from jayvalve.errors import InvalidRequestError, UnauthorizedError
 from jayvalve.internal.entry import authentication
 from jayvalve.internal.entry.authentication import TokenTable, hash_token
 from jayvalve.internal.membership import Member, MembershipView, MemberState
 from jayvalve.internal.membership.member import MemberUpdate
 from jayvalve.internal.routing import Capability
+from jayvalve.internal.validation import check_identifier
 from jayvalve.internal.wire.messages import Heartbeat, Hello
 
 STEPS = 3000
@@ -116,3 +118,24 @@
         self.assertTrue(full.covers(full))
         for name in names:
             self.assertFalse(full.covers(Capability(**{name: "y"})), name)
+
+
+class IdentifierTest(TestCase):
+    """The fast check of identifiers."""
+
+    def test_accepts_the_documented_characters_only(self):
+        """Guards against a pattern that is wider or narrower than the documented rule."""
+        allowed = set(string.ascii_letters + string.digits + "-_.:@")
+        for code in range(0x3000):
+            character = chr(code)
+            for text in (character, f"a{character}", f"{character}a"):
+                if character in allowed:
+                    self.assertEqual(text, check_identifier(text, "id"))
+                else:
+                    self.assertRaises(InvalidRequestError, check_identifier, text, "id")
+
+    def test_length(self):
+        """Guards against a changed bound."""
+        self.assertEqual("a" * 128, check_identifier("a" * 128, "id"))
+        for text in ("", "a" * 129):
+            self.assertRaises(InvalidRequestError, check_identifier, text, "id")
