--- a/src/jayvalve/internal/transport/connection.py
+++ b/src/jayvalve/internal/transport/connection.py
@@ -1,6 +1,7 @@
 """Client side of one connection to another process."""
 
 import asyncio
+import contextlib
 import itertools
 import ssl
 from collections.abc import AsyncIterator
@@ -16,7 +17,12 @@
     error_from_code,
 )
 from jayvalve.internal.timing import Clock
-from jayvalve.internal.transport.framing import FrameWriter, read_envelope, write_message
+from jayvalve.internal.transport.framing import (
+    FrameReader,
+    FrameWriter,
+    read_envelope,
+    write_message,
+)
 from jayvalve.internal.wire import MAX_FRAME_BYTES, Envelope
 from jayvalve.internal.wire.messages import Abandon, Failure, Heartbeat, Hello
 from jayvalve.verdict import Verdict
@@ -69,6 +75,9 @@
                 reply = (await read_envelope(stream)).message
         except (OSError, TimeoutError, StreamClosedError, InvalidFrameError) as error:
             reason = str(error) or type(error).__name__
+            tls_failed = isinstance(getattr(error, "real_error", None), ssl.SSLError)
+            if isinstance(error, StreamClosedError) and not tls_failed:
+                reason = "closed before Hello; check that both sides use TLS or neither does"
             raise PeerUnavailableError(f"cannot connect to {address}: {reason}") from error
         if not isinstance(reply, Hello):
             stream.close()
@@ -92,8 +101,10 @@
 
     async def call(self, message: Any, timeout_s: float) -> Any:
         """Send a request and return its only reply."""
-        async for reply in self.stream(message, timeout_s):
-            return reply
+        # Left to the garbage collector, each generator would be closed in a task of its own.
+        async with contextlib.aclosing(self.stream(message, timeout_s)) as replies:
+            async for reply in replies:
+                return reply
         raise PeerUnavailableError("the peer sent no reply", verdict=Verdict.MAY_HAVE_RUN)
 
     async def stream(self, message: Any, timeout_s: float) -> AsyncIterator[Any]:
@@ -152,9 +163,10 @@
             ) from error
 
     async def _read_replies(self) -> None:
+        reader = FrameReader(self._stream)
         try:
             while True:
-                envelope = await read_envelope(self._stream)
+                envelope = await reader.read()
                 self._last_received_s = self._clock.now()
                 replies = self._waiting.get(envelope.request_id)
                 # A reply to a request that was given up is dropped here, so that it can never
--- a/src/jayvalve/internal/transport/server.py
+++ b/src/jayvalve/internal/transport/server.py
@@ -12,6 +12,7 @@
 
 from jayvalve.errors import InternalError, InvalidFrameError, JayvalveError
 from jayvalve.internal.transport.framing import (
+    FrameReader,
     FrameWriter,
     failure_from_error,
     read_envelope,
@@ -68,8 +69,13 @@
         try:
             context = await self._exchange_hello(stream)
             await self._read_requests(stream, context, tasks)
-        except StreamClosedError:
-            pass
+        except StreamClosedError as error:
+            if isinstance(error.real_error, ssl.SSLError):
+                self._log.warning(
+                    "refused a connection from {}: TLS handshake failed: {}",
+                    address,
+                    error.real_error.reason,
+                )
         except (InvalidFrameError, TimeoutError) as error:
             self._log.warning("closed a connection from {}: {}", address, error)
             await self._report_invalid_frame(stream, error)
@@ -96,9 +102,9 @@
     async def _read_requests(
         self, stream: IOStream, context: PeerContext, tasks: dict[int, asyncio.Task[None]]
     ) -> None:
-        writer = FrameWriter(stream)
+        reader, writer = FrameReader(stream), FrameWriter(stream)
         while True:
-            envelope = await read_envelope(stream)
+            envelope = await reader.read()
             request_id = envelope.request_id
             if isinstance(envelope.message, Abandon):
                 if request_id in tasks:
