--- a/src/jayvalve/demo.py
+++ b/src/jayvalve/demo.py
@@ -183,6 +183,8 @@
             self._processes.spawn(name)
         await work
         self._say(f"all programs finished after {self._caller.repeats} repeated requests")
+        lost = [text for text in self._checks.failures if text.startswith(("P1 ", "P2 ", "P5 "))]
+        self._say(f"{PROGRAMS} histories compared, {len(lost)} turns lost or out of order")
         for name in self._processes.entry_names:
             await self._processes.wait_ready(name)
 
