--- a/tests/cover/test_standins.py
+++ b/tests/cover/test_standins.py
@@ -302,6 +302,20 @@
 
         self.run_async(body())
 
+    def test_kv_release_takes_the_name_of_the_chat(self):
+        """Guards against a release that refuses the program name that sidecars use."""
+
+        async def body():
+            async with running("model-engine", self.FAST) as (_, base):
+                headers = {"X-Program-Id": "default/p1.child"}
+                await fetch(f"{base}/v1/chat/completions", chat(messages=MESSAGES * 20), headers)
+                _, held = await fetch(f"{base}/kv/programs")
+                _, freed = await fetch(f"{base}/kv/release", {"program": "default/p1.child"})
+                self.assertGreater(held["tokens"], 0)
+                self.assertEqual(held["tokens"], freed["released_tokens"])
+
+        self.run_async(body())
+
     def test_orders_and_fencing(self):
         """Guards against an engine that checks, or ignores, numbers contrary to its settings."""
 
