--- a/src/jayvalve/internal/programs/__init__.py
+++ b/src/jayvalve/internal/programs/__init__.py
@@ -6,7 +6,7 @@
 from jayvalve.internal.programs.copy_set import choose_copy_set
 from jayvalve.internal.programs.copy_writer import CopyWriter, Send
 from jayvalve.internal.programs.history import Agent, Intent, Program, StoredTurn
-from jayvalve.internal.programs.identity import ProgramId, Term, check_organisation
+from jayvalve.internal.programs.identity import ProgramId, Term, check_organisation, root_key
 from jayvalve.internal.programs.owned import OwnedProgram
 from jayvalve.internal.programs.ownership import OwnershipTable
 from jayvalve.internal.programs.sequence import TurnCall, TurnSequence
@@ -32,4 +32,5 @@
     "TurnSequence",
     "check_organisation",
     "choose_copy_set",
+    "root_key",
 ]
--- a/src/jayvalve/internal/programs/identity.py
+++ b/src/jayvalve/internal/programs/identity.py
@@ -6,7 +6,7 @@
 from jayvalve.errors import InvalidRequestError, WrongOrganisationError
 from jayvalve.internal.validation import check_identifier
 
-__all__ = ["ProgramId", "Term", "check_organisation"]
+__all__ = ["ProgramId", "Term", "check_organisation", "root_key"]
 
 # Limits the depth of the budget tree that each reservation walks.
 MAX_LEVELS = 8
@@ -83,6 +83,12 @@
         return ProgramId.parse(self.organisation, f"{self.name}.{name}")
 
 
+def root_key(key: str) -> str:
+    """Return the key of the root program; an organisation's name may contain dots."""
+    organisation, separator, name = key.rpartition("/")
+    return f"{organisation}{separator}{name.split('.', 1)[0]}"
+
+
 def check_organisation(expected: str, organisation: str) -> None:
     """Raise WrongOrganisationError unless both are the same organisation."""
     if expected != organisation:
--- a/src/jayvalve/internal/sidecar/execution.py
+++ b/src/jayvalve/internal/sidecar/execution.py
@@ -10,6 +10,7 @@
 from jayvalve.errors import DeadlineExceededError, DrainingError, JayvalveError
 from jayvalve.internal.engines import EngineHead, EngineRequest
 from jayvalve.internal.metrics import Metrics
+from jayvalve.internal.programs import root_key
 from jayvalve.internal.scheduling import QueuedCall, Rank
 from jayvalve.internal.sidecar.attempt import Attempt
 from jayvalve.internal.sidecar.attempts import AttemptTable
@@ -127,13 +128,13 @@
     def _check_term(self, message: Dispatch) -> None:
         # A call without a program has no owner that could be replaced.
         if message.epoch or message.handover:
-            root = message.program.split(".", 1)[0]
+            root = root_key(message.program)
             self._terms.check(root, message.epoch, message.handover)
 
     def _queued_call(self, message: Dispatch, deadline: Deadline) -> QueuedCall:
         return QueuedCall(
             call_id=message.attempt_id,
-            program=message.program.split(".", 1)[0],
+            program=root_key(message.program),
             caller=message.organisation,
             rank=Rank.URGENT if message.rank == Rank.URGENT else Rank.ORDINARY,
             attained_tokens=float(message.attained_tokens),
--- a/src/jayvalve/internal/sidecar/release.py
+++ b/src/jayvalve/internal/sidecar/release.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from jayvalve.errors import JayvalveError
+from jayvalve.internal.programs import root_key
 from jayvalve.internal.timing import Clock
 
 __all__ = ["EngineMemory"]
@@ -69,7 +70,7 @@
         idle = [name for name, used_s in self._last_used_s.items() if used_s <= limit_s]
         if not idle:
             return 0
-        roots = sorted({name.split(".", 1)[0] for name in idle})
+        roots = sorted({root_key(name) for name in idle})
         states = await self._ask_states(roots)
         freed = 0
         for root in roots:
--- a/tests/cover/test_attempts.py
+++ b/tests/cover/test_attempts.py
@@ -18,6 +18,7 @@
 from jayvalve.internal.sidecar.attempt import MAX_ANSWER_BYTES, AttemptId
 from jayvalve.internal.sidecar.attempts import AttemptTable
 from jayvalve.internal.sidecar.fencing import OrderFence, TermTable
+from jayvalve.internal.sidecar.release import EngineMemory
 from jayvalve.internal.timing import ManualClock
 from jayvalve.internal.wire.messages import Chunk, Completed, ResponseHead
 from jayvalve.verdict import Verdict
@@ -342,6 +343,28 @@
         self.assertEqual(set(), trial.not_run & trial.runs.keys())
 
 
+class EngineMemoryTest(AsyncTestCase):
+    def test_sweep_frees_programs_of_an_organisation_with_dots(self) -> None:
+        """Guards against a sweep that asks for a program which nobody knows."""
+        released: list[str] = []
+        asked: list[str] = []
+
+        class Adapter:
+            async def release(self, program: str) -> None:
+                released.append(program)
+
+        async def ask(programs: list[str]) -> dict[str, str]:
+            asked.extend(programs)
+            return {"acme.org/ended": "ended", "acme.org/active": "active"}
+
+        memory = EngineMemory(Adapter(), ask, ManualClock(), min_idle_s=0.0)
+        for program in ("acme.org/ended", "acme.org/ended.child", "acme.org/active"):
+            memory.note_use(program)
+        self.assertEqual(1, self.run_async(memory.sweep()))
+        self.assertEqual(["acme.org/active", "acme.org/ended"], asked)
+        self.assertEqual(["acme.org/ended", "acme.org/ended.child"], sorted(released))
+
+
 class FencingTest(AsyncTestCase):
     """Guards against work and orders of a replaced owner or decider."""
 
--- a/tests/cover/test_programs_budget.py
+++ b/tests/cover/test_programs_budget.py
@@ -5,7 +5,7 @@
 from testtools import ExpectedException, TestCase
 
 from jayvalve.errors import BudgetExceededError, InvalidRequestError, WrongOrganisationError
-from jayvalve.internal.programs import Amount, Budget, ProgramId, Term, check_organisation
+from jayvalve.internal.programs import Amount, Budget, ProgramId, Term, check_organisation, root_key
 
 
 class IdentityTest(TestCase):
@@ -17,6 +17,11 @@
         self.assertIsNone(program.root.parent)
         self.assertEqual(program, ProgramId.from_key(program.key))
 
+    def test_root_key_of_an_organisation_with_dots(self):
+        """Guards against one root for all programs of such an organisation at a sidecar."""
+        self.assertEqual("acme.org/p", root_key("acme.org/p.child.leaf"))
+        self.assertEqual("acme.org/p", root_key(ProgramId.parse("acme.org", "p").key))
+
     def test_invalid_identifiers(self):
         """Guards against identifiers that collide with others as keys."""
         for name in ("", "a..b", ".a", "a.", "a/b", ".".join("abcdefghi")):
