--- a/src/jayvalve/internal/measure/faults/processes.py
+++ b/src/jayvalve/internal/measure/faults/processes.py
@@ -219,7 +219,6 @@
 
 def _retries(budget: Any) -> RetryPolicy:
     # The class has captured the unseeded generator as its default.
-
     return RetryPolicy(budget, rng=random.Random())
 
 
--- /dev/null
+++ b/src/jayvalve/internal/measure/faults/program_checks.py
@@ -0,0 +1,151 @@
+"""Checks of order, history, budget and memory of programs (P1 to P4)."""
+
+import itertools
+from collections import defaultdict
+from collections.abc import Iterator
+
+from jayvalve.internal.measure.faults.callers import ORGANISATION
+from jayvalve.internal.measure.faults.endpoints import EndpointRun
+from jayvalve.internal.measure.faults.programs import ProgramCaller
+from jayvalve.internal.measure.faults.promises import CHECKS, model_runs
+from jayvalve.internal.measure.faults.world import World
+
+__all__ = ["check_budget", "check_history", "check_memory", "check_order"]
+
+# Three processes that end within this time may hold all copies of a program.
+REPLICATION_S = 10.0
+MAX_LOSSES = 3
+
+
+def _by_agent(world: World) -> dict[str, list[EndpointRun]]:
+    """Return the runs of each agent of a named program, in order of their start."""
+    agents: dict[str, list[EndpointRun]] = defaultdict(list)
+    for run in model_runs(world):
+        agent, separator, number = run.tag.rpartition("-")
+        if separator and number.isdigit() and not agent.startswith("flood"):
+            agents[agent].append(run)
+    return agents
+
+
+def _number(run: EndpointRun) -> int:
+    return int(run.tag.rpartition("-")[2])
+
+
+@CHECKS.register("P1")
+def check_order(world: World) -> Iterator[str | None]:
+    """Check that no call of a program starts before the one before it is over."""
+    for agent, runs in _by_agent(world).items():
+        for earlier, later in itertools.pairwise(runs):
+            if _number(later) < _number(earlier):
+                yield f"{agent}: {later.tag} ran at {later.started_s:.3f} after {earlier.tag}"
+            elif _number(later) > _number(earlier):
+                same = [run for run in runs if run.tag == earlier.tag]
+                over = any(
+                    run.finished_s is not None and run.finished_s <= later.started_s for run in same
+                )
+                # A turn of which no run was finished may have ended with an error.
+                ended = over or all(run.finished_s is None for run in same)
+                yield None if ended else f"{agent}: {later.tag} ran while {earlier.tag} was running"
+            else:
+                yield None
+
+
+@CHECKS.register("P2")
+def check_history(world: World) -> Iterator[str | None]:
+    """Check that each prompt and final history holds exactly the acknowledged turns."""
+    if _lost_all_copies(world):
+        return
+    for program in world.programs:
+        yield from _check_prompts(world, program)
+        name = program.plan.name
+        if program.lost and program.acknowledged:
+            yield f"{name} is not known any more"
+        yield from _check_known(world, program)
+        expected = program.history(name)
+        if program.final_history is not None and expected is not None:
+            same = program.final_history == expected
+            yield (
+                None
+                if same
+                else (
+                    f"history of {name} has {len(program.final_history)} messages, "
+                    f"{len(expected)} were acknowledged"
+                )
+            )
+
+
+def _check_known(world: World, program: ProgramCaller) -> Iterator[str | None]:
+    """Check that no entry denies a program that has acknowledged turns."""
+    name = program.plan.name
+    answered = [
+        item.ended_s
+        for item in world.callers.submissions
+        if item.program == name and item.outcome == "answer" and item.ended_s is not None
+    ]
+    for item in world.callers.submissions:
+        if item.program != name or item.kind == "control" or not answered:
+            continue
+        denied = item.code == "program_unknown" and item.started_s > min(answered)
+        yield (
+            None
+            if not denied
+            else (
+                f"{item.tag} was told at {item.ended_s:.3f} by {item.entry} that {name} is unknown"
+            )
+        )
+
+
+def _check_prompts(world: World, program: ProgramCaller) -> Iterator[str | None]:
+    for agent, runs in _by_agent(world).items():
+        if agent.split(".")[0] != program.plan.name:
+            continue
+        for run in runs:
+            expected = program.history(agent, _number(run))
+            if expected is None:
+                continue
+            same = run.messages[:-1] == expected
+            yield (
+                None
+                if same
+                else (
+                    f"{run.tag} ran with {len(run.messages) - 1} messages of history at "
+                    f"{run.started_s:.3f}, {len(expected)} were acknowledged"
+                )
+            )
+
+
+def _lost_all_copies(world: World) -> bool:
+    ends = sorted(item.ended_s for item in world.processes if item.ended_s is not None)
+    span = MAX_LOSSES - 1
+    return any(late - early < REPLICATION_S for early, late in zip(ends, ends[span:], strict=False))
+
+
+@CHECKS.register("P3")
+def check_budget(world: World) -> Iterator[str | None]:
+    """Check what the engines served to each program against its budget."""
+    for program in world.programs:
+        if program.plan.budget is None:
+            continue
+        name, (tokens, calls) = program.plan.name, program.plan.budget
+        runs = [run for run in world.runs if _root(run) == name]
+        used = sum(run.tokens for run in runs)
+        if used > tokens or len(runs) > calls:
+            yield f"{name} used {used} of {tokens} tokens and {len(runs)} of {calls} calls"
+        else:
+            yield None
+
+
+def _root(run: EndpointRun) -> str:
+    return run.program.removeprefix(f"{ORGANISATION}/").split(".")[0]
+
+
+@CHECKS.register("P4")
+def check_memory(world: World) -> Iterator[str | None]:
+    """Check that engines hold no memory of programs that were ended."""
+    ended = {program.plan.name for program in world.programs if program.ended_s is not None}
+    for endpoint, held in world.engine_memory.items():
+        for name in held:
+            root = name.removeprefix(f"{ORGANISATION}/").split(".")[0]
+            if root in ended:
+                yield f"{endpoint} holds memory of ended program {name}"
+    yield from (None for _ in ended)
