--- a/tests/cover/test_tls.py
+++ b/tests/cover/test_tls.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import io
+import itertools
 import json
 import logging
 import os
@@ -20,13 +21,16 @@
 from tornado.httpclient import AsyncHTTPClient
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
+from tornado.web import Application
 
 from jayvalve.deployments import DEPLOYMENTS, InProcessDeployment
 from jayvalve.errors import InvalidSettingsError, PeerUnavailableError
 from jayvalve.internal import tls
 from jayvalve.internal.entry.authentication import hash_token
 from jayvalve.internal.logging import configure_logging
-from jayvalve.internal.settings import TlsSettings
+from jayvalve.internal.membership import HeartbeatSource
+from jayvalve.internal.runtime import Runtime
+from jayvalve.internal.settings import Settings, TlsSettings
 from jayvalve.internal.timing import Clock
 from jayvalve.internal.tls import TlsFiles
 from jayvalve.internal.transport import HandlerTable, PeerPool, PeerServer
@@ -122,10 +126,13 @@
 class ReloadTest(AsyncTestCase):
     """Changed files."""
 
+    times = itertools.count(1_000_000_000, 1_000_000)
+
     def copy(self, name, directory):
         for suffix in ("pem", "key"):
             shutil.copy(DATA / f"{name}.{suffix}", directory / f"own.{suffix}")
-            os.utime(directory / f"own.{suffix}", ns=(1, len(name) * 1000 + hash(name) % 997))
+            # Files copied within one tick of the clock would look unchanged.
+            os.utime(directory / f"own.{suffix}", ns=(0, next(self.times)))
 
     def setUp(self):
         super().setUp()
@@ -169,6 +176,43 @@
         with mock.patch.object(tls, "RELOAD_INTERVAL_S", 0.05):
             self.assertEqual((Accepted(), True), self.run_async(scenario()))
 
+    def test_process_follows_its_files(self):
+        """Guards against a reload that does not reach the servers or the client side."""
+
+        async def scenario():
+            settings = Settings(
+                "entry-1", "catania", "127.0.0.1:0", "127.0.0.1:0", tls=self.settings
+            )
+            runtime = Runtime(settings, "entry")
+            runtime.handlers.on(Cancel)(self._accept)
+            await runtime.open(Application([]), HeartbeatSource())
+            url = f"https://{runtime.http_address}/"
+            codes = []
+            for authority, name in (("trusted", "trusted-1"), ("foreign", "foreign-1")):
+                self.copy(name, self.directory)
+                await asyncio.sleep(0.4)
+                response = await AsyncHTTPClient().fetch(
+                    url, ca_certs=str(DATA / f"{authority}-authority.pem"), raise_error=False
+                )
+                codes.append(response.code)
+            # The own certificate is foreign now, so another process must refuse it.
+            server, address = start_server(TlsFiles(settings_of("trusted-1")).contexts.server)
+            try:
+                await runtime.pool.call(address, Cancel("0"), 5.0)
+                codes.append("accepted")
+            except PeerUnavailableError:
+                codes.append("refused")
+            await server.close()
+            await runtime.close()
+            return codes
+
+        with mock.patch.object(tls, "RELOAD_INTERVAL_S", 0.05):
+            self.assertEqual([404, 404, "refused"], self.run_async(scenario()))
+
+    @staticmethod
+    async def _accept(context, message):
+        return Accepted()
+
     def test_unusable_files_leave_the_old_ones_in_use(self):
         """Guards against a half-written file that takes the process off the network."""
         files = TlsFiles(self.settings)
