Split the measured world into programs and calls

The progress of agents, their tool pauses and sub-agents move to programs.py behind the class ProgramRuns; world.py keeps the event loop, calls, signals and faults. The order of events and of random draws is unchanged. tests/cover/test_measure.py passes.

--- /dev/null
+++ b/src/jayvalve/internal/measure/programs.py
@@ -0,0 +1,223 @@
+"""Programs in virtual time: agents, tool pauses, sub-agents and their ends."""
+
+from collections.abc import Callable, Mapping, Sequence
+
+import attrs
+
+from jayvalve.internal.measure.candidates import Candidate
+from jayvalve.internal.measure.endpoint import Endpoint
+from jayvalve.internal.measure.entry import Entry
+from jayvalve.internal.measure.records import ProgramRecord, Records
+from jayvalve.internal.measure.workloads import Agent, Program, Step
+from jayvalve.internal.scheduling import Rank
+
+__all__ = ["AgentRun", "Call", "ProgramRun", "ProgramRuns"]
+
+DEADLINE_S = {Rank.URGENT: 30.0, Rank.ORDINARY: 120.0}
+# How long a caller tries to start a program that is refused.
+START_PATIENCE_S = {Rank.URGENT: 60.0, Rank.ORDINARY: 60.0}
+# Name under which the wait for sub-agents counts as a tool pause.
+JOIN = "join"
+
+
+@attrs.define(eq=False)
+class AgentRun:
+    """Progress of one agent."""
+
+    name: str
+    agent: Agent
+    program: "ProgramRun"
+    parent: "AgentRun | None" = None
+    index: int = 0
+    history_tokens: int = 0
+    open_children: int = 0
+    children: int = 0
+    next_use_s: float = float("inf")
+    join_began_s: float = 0.0
+
+
+@attrs.define(eq=False)
+class ProgramRun:
+    """Progress of one program and the entry that owns it."""
+
+    program: Program
+    record: ProgramRecord
+    entry: Entry
+    endpoints: set[str] = attrs.field(factory=set)
+    agents: list[AgentRun] = attrs.field(factory=list)
+    home: dict[str, str] = attrs.field(factory=dict)
+
+
+@attrs.define(eq=False)
+class Call:
+    """One model call of an agent."""
+
+    run: AgentRun
+    step: Step
+    issued_s: float
+    deadline_s: float
+    attempts: int = 0
+    resubmissions: int = 0
+    excluded: frozenset[str] = frozenset()
+
+    @property
+    def agent(self) -> str:
+        """The agent's name, which is the key of its prefix."""
+        return self.run.name
+
+    @property
+    def prefix_tokens(self) -> int:
+        """Length of the history before this call."""
+        return self.run.history_tokens
+
+    @property
+    def new_tokens(self) -> int:
+        """Prompt tokens that this call adds."""
+        return self.step.new_tokens
+
+    @property
+    def output_tokens(self) -> int:
+        """Tokens that the call generates."""
+        return self.step.output_tokens
+
+    @property
+    def rank(self) -> Rank:
+        """Rank of the program."""
+        return self.run.program.program.rank
+
+    @property
+    def starts_program(self) -> bool:
+        """Whether this is the first call of the program."""
+        return self.run.parent is None and self.run.index == 0
+
+    @property
+    def straggler(self) -> bool:
+        """Whether a join waits for this agent alone."""
+        parent = self.run.parent
+        return parent is not None and parent.children > 1 and parent.open_children == 1
+
+
+class ProgramRuns:
+    """Takes the agents of all programs from call to call.
+
+    Args:
+        candidate: The decisions on engine memory.
+        entries: Entries by the data centre's number.
+        endpoints: Endpoints by name.
+        records: Where outcomes are counted.
+        schedule: Called with a time, a function and its arguments.
+        dispatch: Called with each call that an agent issues.
+
+    """
+
+    def __init__(
+        self,
+        candidate: Candidate,
+        entries: Sequence[Entry],
+        endpoints: Mapping[str, Endpoint],
+        records: Records,
+        schedule: Callable[..., None],
+        dispatch: Callable[[Call, float], None],
+    ) -> None:
+        self._candidate = candidate
+        self._entries = entries
+        self._endpoints = endpoints
+        self._records = records
+        self._schedule = schedule
+        self._dispatch = dispatch
+        self._agents: dict[str, AgentRun] = {}
+
+    def next_use_s(self, agent: str) -> float:
+        """Return when an agent calls next; infinite if that is not known or it has ended."""
+        run = self._agents.get(agent)
+        return run.next_use_s if run is not None else float("inf")
+
+    def start(self, program: Program, now: float) -> None:
+        """Start a program that arrives."""
+        record = ProgramRecord(program.rank, program.arrival_s)
+        self._records.programs.append(record)
+        run = ProgramRun(program, record, self._entries[program.data_centre])
+        self._start_agent(AgentRun(program.name, program.root, run), now)
+
+    def _start_agent(self, run: AgentRun, now: float) -> None:
+        run.program.agents.append(run)
+        self._agents[run.name] = run
+        self._issue(run, now)
+
+    def _issue(self, run: AgentRun, now: float) -> None:
+        if run.program.record.end_s is not None:
+            return
+        run.next_use_s = now
+        rank = run.program.program.rank
+        self._records.requests += 1
+        call = Call(run, run.agent.steps[run.index], now, now + DEADLINE_S[rank])
+        if call.starts_program:
+            call.deadline_s = now + START_PATIENCE_S[rank]
+        self.owner(run.program).budget.request()
+        self._dispatch(call, now)
+
+    def owner(self, program: ProgramRun) -> Entry:
+        """Return the entry that owns a program; a lost owner is replaced."""
+        if not program.entry.alive:
+            program.entry = next(entry for entry in self._entries if entry.alive)
+        return program.entry
+
+    def advance(self, run: AgentRun, step: Step, now: float) -> None:
+        """Continue an agent after a finished call: with sub-agents, a tool pause or its end."""
+        run.index += 1
+        if step.children:
+            run.join_began_s = now
+            self._pause_cache(run, JOIN, now)
+            run.children = run.open_children = len(step.children)
+            run.next_use_s = float("inf")
+            for number, child in enumerate(step.children):
+                name = f"{run.name}.{run.index}.{number}"
+                self._start_agent(AgentRun(name, child, run.program, run), now)
+        elif run.index == len(run.agent.steps):
+            self._agent_ended(run, now)
+        else:
+            self._pause(run, step, now)
+
+    def _pause(self, run: AgentRun, step: Step, now: float) -> None:
+        run.next_use_s = now + step.pause_s
+        self._pause_cache(run, step.tool, now)
+        self._schedule(run.next_use_s, self._resume, run, step)
+
+    def _pause_cache(self, run: AgentRun, tool: str, now: float) -> None:
+        endpoint = self._endpoints[run.program.home[run.name]]
+        if self._candidate.manages_memory and not self._candidate.oracle and endpoint.alive:
+            endpoint.pause(run.name, tool, self.owner(run.program).pauses, now)
+
+    def _resume(self, run: AgentRun, step: Step, now: float) -> None:
+        self.owner(run.program).pauses.observe(step.tool, step.pause_s)
+        self._issue(run, now)
+
+    def _agent_ended(self, run: AgentRun, now: float) -> None:
+        self._release(run)
+        parent = run.parent
+        if parent is None:
+            run.program.record.complete(now)
+            self.owner(run.program).attained.end(run.program.program.name)
+            return
+        parent.open_children -= 1
+        if parent.open_children:
+            return
+        if parent.index == len(parent.agent.steps):
+            self._agent_ended(parent, now)
+        else:
+            self.owner(run.program).pauses.observe(JOIN, now - parent.join_began_s)
+            self._issue(parent, now)
+
+    def _release(self, run: AgentRun) -> None:
+        run.next_use_s = float("inf")
+        self._agents.pop(run.name, None)
+        if self._candidate.manages_memory:
+            for name in sorted(run.program.endpoints):
+                self._endpoints[name].release(run.name)
+
+    def fail(self, program: ProgramRun, now: float) -> None:
+        """Record that a program is given up and release its memory."""
+        if program.record.end_s is None:
+            program.record.fail(now)
+            for run in program.agents:
+                self._release(run)
