Drop the turn sequences of a program with its ownership

Cause: sequences were kept under the memory address of the owned program. A program that was dropped because of a stale term left them behind, and a later ownership at the same address took up the old sequence.

Found by reading the code while a schedule gave two traces; that difference had another cause, and no schedule is known to show this fault.

Change: the sequences are held weakly by the owned program itself.

--- a/src/jayvalve/internal/entry/programs.py
+++ b/src/jayvalve/internal/entry/programs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import weakref
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -79,13 +80,19 @@
         self._tools = tools
         self._spawn = spawn
         self._budget_rule = budget_rule
-        self._agents: dict[tuple[int, str], _AgentCalls] = {}
+        # The identity of an owned program may be used again once it has been dropped, so the
+        # calls of each ownership go with the object itself.
+        self._agents: weakref.WeakKeyDictionary[OwnedProgram, dict[str, _AgentCalls]] = (
+            weakref.WeakKeyDictionary()
+        )
         self._last_used_s: dict[str, float] = {}
 
     @property
     def running(self) -> int:
         """Number of calls under way."""
-        return sum(len(agent.streams) for agent in self._agents.values())
+        return sum(
+            len(agent.streams) for agents in self._agents.values() for agent in agents.values()
+        )
 
     def idle_programs(self, idle_s: float) -> list[ProgramId]:
         """Return the owned programs without a call for idle_s seconds."""
@@ -102,9 +109,7 @@
         owned = self._table.get(identity)
         if owned is None:
             return True
-        return all(
-            not agent.streams for (owner, _), agent in self._agents.items() if owner == id(owned)
-        )
+        return all(not agent.streams for agent in self._agents.get(owned, {}).values())
 
     def limits_of(self, call: CallRequest) -> list[Any]:
         """Return the limits for a program that starts with this call."""
@@ -144,20 +149,19 @@
 
     def forget(self, owned: OwnedProgram) -> None:
         """Drop the sequences of a program that ended or moved."""
-        for key in [key for key in self._agents if key[0] == id(owned)]:
-            del self._agents[key]
+        self._agents.pop(owned, None)
         self._last_used_s.pop(owned.program.identity.key, None)
 
     def _agent(self, owned: OwnedProgram, identity: ProgramId) -> _AgentCalls:
-        key = (id(owned), identity.name)
-        if key not in self._agents:
+        agents = self._agents.setdefault(owned, {})
+        if identity.name not in agents:
             state = owned.program.agent(identity.name)
             sequence = TurnSequence(self._tools.clock, state.last_turn, stores_failures=False)
             for turn in state.turns.values():
                 answer = Answer.decode(turn.status, turn.verdict, turn.answer)
                 sequence.restore(turn.turn, turn.request_id, turn.digest, answer)
-            self._agents[key] = _AgentCalls(sequence)
-        return self._agents[key]
+            agents[identity.name] = _AgentCalls(sequence)
+        return agents[identity.name]
 
     async def _start_agent(self, program: Program, identity: ProgramId, call: CallRequest) -> None:
         parent = identity.parent
