--- a/tests/scenarios/expectations.py
+++ b/tests/scenarios/expectations.py
@@ -5,6 +5,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from tornado.httpclient import HTTPError
+
 from jayvalve.standins.answers import answer_tokens
 from tests.scenarios.caller import Request
 from tests.scenarios.world import World
@@ -69,7 +71,11 @@
     behind = set(world.running())
     while behind:
         for name in sorted(behind):
-            status = await world.deployment.status(name)
+            try:
+                status = await world.deployment.status(name)
+            except (OSError, HTTPError):
+                # A process that was just started does not listen yet; it stays behind.
+                continue
             found = status["configuration_version"]
             assert found <= version, f"{name} has version {found}, the log only {version}"
             if found == version:
