Guarantee half of the memory to ordinary work

Cause: in an urgent flood ordinary goodput stays below its floor.

Change: AdmissionSettings.ordinary_memory, 0.5.

--- a/src/jayvalve/internal/scheduling/admission.py
+++ b/src/jayvalve/internal/scheduling/admission.py
@@ -33,6 +33,10 @@
             need before starts are refused. Beyond it programs evict one another's prefixes
             between turns. A rank whose own programs need less than its guaranteed part of it
             is taken even then, so that a flood of the other rank cannot shut it out.
+        ordinary_memory: Part of ``memory_share`` guaranteed to ordinary work; the rest is
+            guaranteed to urgent work. It exceeds ``floor`` because ordinary programs keep
+            their histories longer: with 0.3, memory refused most ordinary starts in an urgent
+            flood, and the ordinary queue ran empty.
 
     """
 
@@ -41,6 +45,7 @@
     floor: float = 0.3
     start_wait_s: float = 1.0
     memory_share: float = 0.7
+    ordinary_memory: float = 0.5
 
 
 @attrs.define
@@ -139,8 +144,9 @@
     def _check_memory(self, rank: Rank, memory_shares: Mapping[Rank, float], wait_s: float) -> None:
         needed = sum(memory_shares.values())
         own = memory_shares.get(rank, 0.0)
-        guaranteed = self._settings.memory_share * self._share(rank)
-        if needed > self._settings.memory_share and own > guaranteed:
+        limit, part = self._settings.memory_share, self._settings.ordinary_memory
+        guaranteed = limit * (part if rank is Rank.ORDINARY else 1.0 - part)
+        if needed > limit and own > guaranteed:
             raise OverloadedError(
                 f"programs in progress need {needed:.0%} of the memory",
                 retry_after_s=self._hint_s(wait_s),
--- a/tests/cover/test_scheduling.py
+++ b/tests/cover/test_scheduling.py
@@ -264,6 +264,16 @@
         self.assertRaises(OverloadedError, self.admission.check, start, 0.0, shares)
         self.admission.check(call("y", URGENT, starts_program=True), 0.0, shares)
 
+    def test_ordinary_memory_guarantee_exceeds_its_share_of_service(self):
+        """Guards against memory that refuses ordinary starts while ordinary work lacks its floor.
+
+        Ordinary programs need more memory for a token of service than urgent ones.
+        """
+        start = call("x", starts_program=True)
+        self.admission.check(start, 0.0, {ORDINARY: 0.3, URGENT: 0.6})
+        over = {ORDINARY: 0.4, URGENT: 0.6}
+        self.assertRaises(OverloadedError, self.admission.check, start, 0.0, over)
+
     def test_retry_hint_grows_with_the_share_of_refused_starts(self):
         """Guards against callers of a flood that come back as one crowd."""
         shares = {ORDINARY: 0.9}
