--- a/src/jayvalve/internal/entry/app.py
+++ b/src/jayvalve/internal/entry/app.py
@@ -6,7 +6,6 @@
 
 from tornado.web import Application
 
-from jayvalve.errors import JayvalveError, PeerUnavailableError
 from jayvalve.internal.claims import ClaimRelays
 from jayvalve.internal.configuration import (
     BudgetRule,
@@ -28,6 +27,7 @@
 from jayvalve.internal.entry.epochs import EpochSource
 from jayvalve.internal.entry.execution import AttemptIds, ExecutionTools
 from jayvalve.internal.entry.key_claims import KeyClaims
+from jayvalve.internal.entry.members import ENTRY_ROLE, EntryMembers
 from jayvalve.internal.entry.placement import ProgramPlacement
 from jayvalve.internal.entry.programs import ProgramCalls
 from jayvalve.internal.entry.queries import (
@@ -39,14 +39,15 @@
     TimelineHandler,
 )
 from jayvalve.internal.entry.service import EntryService
+from jayvalve.internal.entry.upkeep import ProgramUpkeep
 from jayvalve.internal.limits import OutlierDetector, RetryBudget, RetryPolicy
 from jayvalve.internal.log import LogClient
-from jayvalve.internal.membership import HeartbeatSource, Member, MemberChange
+from jayvalve.internal.membership import HeartbeatSource, MemberChange
 from jayvalve.internal.operator.observer import CallObserver
 from jayvalve.internal.placement import PlacementRunner
-from jayvalve.internal.programs import CopyStore, OwnershipTable, ProgramId
+from jayvalve.internal.programs import CopyStore, OwnershipTable
 from jayvalve.internal.programs.handlers import register_copies
-from jayvalve.internal.runtime import Runtime, holder_name, split_holder_name
+from jayvalve.internal.runtime import Runtime
 from jayvalve.internal.settings import Settings
 from jayvalve.internal.timing import Clock
 from jayvalve.internal.transport import PeerContext
@@ -55,22 +56,14 @@
     HandOver,
     Heartbeat,
     Hello,
-    Message,
     ProgramQuery,
     ProgramStates,
 )
 
 __all__ = ["EntryProcess"]
 
-ROLE = "entry"
 DRAIN_POLL_S = 0.05
-JOIN_RETRY_S = 1.0
-UPKEEP_INTERVAL_S = 1.0
-# Seeds and sidecars that do not answer for this time after the start are taken to be gone.
-SETTLE_LIMIT_S = 6.0
 DEFAULT_RULES = Rules()
-# The target has about 1,000 instances; names that have gone are dropped above this number.
-MAX_PEER_VERSIONS = 2048
 
 
 class EntryProcess:
@@ -78,15 +71,12 @@
 
     def __init__(self, settings: Settings, clock: Clock | None = None) -> None:
         self._settings = settings
-        self._runtime = Runtime(settings, ROLE, clock)
+        self._runtime = Runtime(settings, ENTRY_ROLE, clock)
         self._stack = contextlib.AsyncExitStack()
         self._clock = self._runtime.clock
         self._active_requests = 0
         self._tokens = TokenTable(settings.callers)
-        self._created_s = self._clock.now()
-        self._settled = False
-        # Highest configuration version that each instance has sent, with its incarnation.
-        self._peer_versions: dict[str, tuple[int, int]] = {}
+        self._members = EntryMembers(self._runtime)
         self._log = LogClient(settings.log_url) if settings.log_url else None
         self._build_configuration()
         self._build_programs()
@@ -130,7 +120,7 @@
             log,
             self._configuration,
             self._settings.instance,
-            lambda: list(self._entries()),
+            self._members.entry_names,
             self._settings.retention_seconds,
         )
 
@@ -141,14 +131,14 @@
         self._table = OwnershipTable(
             self._copies,
             self._settings.data_centre,
-            self._send_to_holder,
-            self._holders,
+            self._members.send,
+            self._members.holders,
             epochs.acquire,
             self._clock,
-            entries=self._entry_holders,
-            has_ended=self._has_ended,
-            known=self._known_holders,
-            is_gone=self._is_gone,
+            entries=self._members.owners,
+            has_ended=self._members.has_ended,
+            known=self._members.known_holders,
+            is_gone=self._members.is_gone,
         )
         self._placement = ProgramPlacement(
             self._settings.instance,
@@ -156,7 +146,7 @@
             self._table,
             runtime.view,
             lambda: runtime.draining,
-            self._is_settled,
+            lambda: self._members.is_settled(self._configuration, self._directory),
         )
 
     def _build_calls(self) -> None:
@@ -178,7 +168,7 @@
                 self._relays,
                 runtime.pool,
                 dispatcher,
-                self._entries,
+                self._members.entries,
                 self._directory.sidecar,
                 runtime.spawn,
                 self._clock,
@@ -205,6 +195,15 @@
             self._clock,
             runtime.spawn,
         )
+        self._upkeep = ProgramUpkeep(
+            runtime,
+            self._members,
+            self._table,
+            self._placement,
+            self._calls,
+            self._service,
+            lambda: self.rules.program_idle_s,
+        )
 
     async def start(self) -> str:
         """Open the sockets and start serving."""
@@ -231,7 +230,7 @@
                 self._log,
                 self._configuration,
                 self._directory,
-                lambda: sorted(self._entries()),
+                self._members.entry_names,
                 runtime.pool,
                 runtime.spawn,
                 self._clock,
@@ -240,8 +239,8 @@
             runtime.spawn(placement.run())
             runtime.spawn(self._configuration.run())
             runtime.spawn(self._renewal.run())
-            runtime.spawn(self._join())
-        runtime.spawn(self._upkeep())
+            runtime.spawn(self._upkeep.join())
+        runtime.spawn(self._upkeep.run())
         return f"entry {self._settings.instance} ready on http://{runtime.http_address}"
 
     async def drain(self) -> None:
@@ -250,7 +249,7 @@
         await asyncio.sleep(self._settings.balancer_delay_seconds)
         limit_s = self._clock.now() + self._settings.drain_seconds
         while self._clock.now() < limit_s:
-            await self._hand_over_idle()
+            await self._upkeep.hand_over_idle()
             if not self._table.programs and not self._active_requests:
                 break
             await asyncio.sleep(DRAIN_POLL_S)
@@ -264,7 +263,7 @@
         view = self._runtime.view
         return {
             "instance": self._settings.instance,
-            "role": ROLE,
+            "role": ENTRY_ROLE,
             "data_centre": self._settings.data_centre,
             "state": self._runtime.state,
             "epoch": self._table.epoch,
@@ -279,7 +278,7 @@
                     "role": member.role,
                     "data_centre": member.data_centre,
                     "state": str(member.state),
-                    "configuration_version": self._version_of(member),
+                    "configuration_version": self._members.version_of(member),
                 }
                 for member in view.members()
             ],
@@ -344,90 +343,15 @@
 
         @handlers.on(ProgramQuery)
         async def states(context: PeerContext, message: ProgramQuery) -> ProgramStates:
-            found = await asyncio.gather(*map(self._program_state, message.programs))
+            found = await asyncio.gather(*map(self._upkeep.program_state, message.programs))
             return ProgramStates(list(found))
 
-    async def _program_state(self, key: str) -> str:
-        identity = ProgramId.from_key(key)
-        if self._table.get(identity) is not None:
-            # An owner that was cut off may not have noticed that it was replaced.
-            with contextlib.suppress(JayvalveError):
-                await self._table.confirm(identity)
-        if self._table.get(identity) is not None:
-            return "active"
-        try:
-            location = await self._table.lookup(identity)
-        except JayvalveError:
-            return "undecided"
-        if location is None:
-            return "unknown"
-        return "ended" if location.ended else "active"
-
-    def _is_settled(self) -> bool:
-        """Return whether this process knows all members, as far as it can tell."""
-        if not self._settled:
-            view = self._runtime.view
-            waited_s = self._clock.now() - self._created_s
-            known = all(view.by_address(seed) for seed in self._settings.seeds)
-            known = known and self._configuration.version > 0
-            known = known and all(
-                view.by_address(endpoint.address) for endpoint in self._directory.endpoints
-            )
-            self._settled = known or waited_s > SETTLE_LIMIT_S
-        return self._settled
-
-    def _entries(self) -> dict[str, str]:
-        """Return the live entries, this one included, as instance to address."""
-        identity = self._runtime.identity
-        found = {member.instance: member.address for member in self._runtime.view.live(ROLE)}
-        return {**found, identity.instance: identity.address}
-
-    def _holders(self) -> list[tuple[str, str]]:
-        """Return the processes that may hold copies, with their data centres."""
-        return [
-            (holder_name(member.instance, member.incarnation), member.data_centre)
-            for member in self._runtime.view.usable()
-        ]
-
-    def _known_holders(self) -> list[tuple[str, str]]:
-        """Return all processes that have not ended for good, with their data centres."""
-        members = [
-            (holder_name(m.instance, m.incarnation), m) for m in self._runtime.view.members()
-        ]
-        return [(name, m.data_centre) for name, m in members if not self._has_ended(name)]
-
-    def _is_gone(self, name: str) -> bool:
-        return self._runtime.view.incarnation_gone(*split_holder_name(name))
-
-    def _entry_holders(self) -> list[str]:
-        """Return the names of the processes that may own programs."""
-        members = self._runtime.view.usable(ROLE)
-        names = [holder_name(member.instance, member.incarnation) for member in members]
-        return [*names, self._runtime.holder]
-
-    def _has_ended(self, name: str) -> bool:
-        instance, incarnation = split_holder_name(name)
-        if instance == self._settings.instance:
-            return incarnation < self._runtime.identity.incarnation
-        return self._runtime.view.incarnation_ended(instance, incarnation)
-
-    async def _send_to_holder(self, name: str, message: Message, timeout_s: float) -> Message:
-        instance, incarnation = split_holder_name(name)
-        member = self._runtime.view.get(instance)
-        if member is None or member.incarnation != incarnation:
-            raise PeerUnavailableError(f"{name} is not known or was replaced")
-        return await self._runtime.pool.call(member.address, message, timeout_s)
-
     def _budget_rule(self) -> BudgetRule:
         return self.rules.budget
 
     def _on_heartbeat(self, peer: Hello, heartbeat: Heartbeat) -> None:
         self._sync.observe(peer, heartbeat)
-        seen = (peer.incarnation, heartbeat.configuration_version)
-        self._peer_versions[peer.instance] = max(seen, self._peer_versions.get(peer.instance, seen))
-        if len(self._peer_versions) > MAX_PEER_VERSIONS:
-            known = {member.instance for member in self._runtime.view.members()}
-            self._peer_versions = {k: v for k, v in self._peer_versions.items() if k in known}
+        self._members.observe_version(peer, heartbeat)
         if heartbeat.load:
             member = self._runtime.view.get(peer.instance)
             name = self._directory.endpoint_of(member) if member is not None else None
@@ -437,62 +361,6 @@
     def _on_configuration(self, version: int, document: Document) -> None:
         self._directory.set_document(document)
 
-    def _version_of(self, member: Member) -> int:
-        """Return the version that an instance was last seen with; 0 if it sent none yet."""
-        incarnation, version = self._peer_versions.get(member.instance, (0, 0))
-        return version if incarnation == member.incarnation else 0
-
     def _on_member_change(self, change: MemberChange) -> None:
-        if self._relays is not None and change.member.role == ROLE:
-            self._relays.prepare(self._settings.instance, sorted(self._entries()))
-
-    async def _join(self) -> None:
-        while self._table.epoch is None:
-            try:
-                await self._table.join()
-            except JayvalveError:
-                await asyncio.sleep(JOIN_RETRY_S)
-
-    async def _upkeep(self) -> None:
-        while True:
-            await asyncio.sleep(UPKEEP_INTERVAL_S)
-            for identity in self._calls.idle_programs(self.rules.program_idle_s):
-                with contextlib.suppress(JayvalveError):
-                    await self._service.end_program(identity)
-            await self._repair_copy_sets()
-            await self._return_programs()
-
-    async def _repair_copy_sets(self) -> None:
-        """Replace members of copy sets that are gone."""
-        alive = {name for name, _ in self._holders()} | {self._runtime.holder}
-        for key in self._table.programs:
-            identity = ProgramId.from_key(key)
-            owned = self._table.get(identity)
-            if owned is None or alive.issuperset(*owned.writer.sets):
-                continue
-            with contextlib.suppress(JayvalveError):
-                await self._table.change_copy_set(identity)
-
-    async def _return_programs(self) -> None:
-        """Hand idle programs to the entry that comes first in their rendezvous order."""
-        if not self._runtime.draining:
-            await self._hand_over_idle()
-
-    async def _hand_over_idle(self) -> None:
-        for key in self._table.programs:
-            identity = ProgramId.from_key(key)
-            owned = self._table.get(identity)
-            successor = self._placement.preferred_owner(key)
-            if owned is None or successor in (None, self._settings.instance):
-                continue
-            if not self._calls.is_idle(identity):
-                continue
-            member = self._runtime.view.get(successor)
-            if member is None:
-                continue
-            with contextlib.suppress(JayvalveError):
-                await self._table.hand_over(
-                    identity, holder_name(member.instance, member.incarnation)
-                )
-            if self._table.get(identity) is None:
-                self._calls.forget(owned)
+        if self._relays is not None and change.member.role == ENTRY_ROLE:
+            self._relays.prepare(self._settings.instance, self._members.entry_names())
