--- a/src/jayvalve/internal/entry/execution.py
+++ b/src/jayvalve/internal/entry/execution.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import itertools
-import json
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -10,13 +9,13 @@
 from loguru import logger
 
 from jayvalve.errors import (
-    BudgetExceededError,
     DeadlineExceededError,
     JayvalveError,
     KeyRequiredError,
     MayHaveRunError,
 )
-from jayvalve.internal.entry.answers import EventSplitter, summarize, without_usage_event
+from jayvalve.internal.entry.answers import EventSplitter, summarize
+from jayvalve.internal.entry.call_body import CallBody, request_digest
 from jayvalve.internal.entry.call_stream import CallStream
 from jayvalve.internal.entry.dispatch import AttemptDispatcher
 from jayvalve.internal.entry.endpoints import EndpointDirectory, Target
@@ -29,7 +28,7 @@
 from jayvalve.internal.metrics import Metrics
 from jayvalve.internal.operator.observer import CallObserver
 from jayvalve.internal.programs import Amount, Intent, Term
-from jayvalve.internal.routing import Capability, Prefix, RoutingCall
+from jayvalve.internal.routing import Capability, RoutingCall
 from jayvalve.internal.timing import Clock, Deadline
 from jayvalve.internal.wire.messages import Chunk, Completed, Dispatch, ResponseHead
 from jayvalve.verdict import Verdict
@@ -109,9 +108,8 @@
         self._excluded: set[str] = set()
         self._may_have_run = False
         self._abandoned = False
-        self._hides_usage = False
         self._current: tuple[Target, str] | None = None
-        self._messages = self._all_messages()
+        self._body = CallBody(call, journal)
         self._repeatable = self._is_repeatable()
 
     @property
@@ -152,11 +150,6 @@
                 await self._tools.dispatcher.cancel(target.sidecar, attempt_id)
                 return
 
-    def _all_messages(self) -> list[Any]:
-        if self._call.history_mode == "append":
-            return [*self._journal.history(), *self._call.messages]
-        return self._call.messages
-
     def _is_repeatable(self) -> bool:
         call = self._call
         if call.service is None:
@@ -198,7 +191,7 @@
         self._journal.note_endpoint(target.endpoint.name)
         self._stream.note_attempt(self._turn, target.endpoint.name)
         try:
-            body, amount = self._prepare_body()
+            body, amount = self._body.prepare()
             answer = await self._attempt_at(target, attempt_id, body, amount)
         except JayvalveError as error:
             self._excluded.add(target.view.name)
@@ -212,14 +205,11 @@
         need = (
             Capability(service=call.service) if call.service else Capability(model=call.model or "")
         )
-        prefix = Prefix((), ())
-        if call.model is not None:
-            prefix = Prefix.from_program(call.program, _estimated_tokens(self._messages))
         return RoutingCall(
             attempt_id,
             call.program,
             need,
-            prefix,
+            self._body.prefix(),
             call.rank == "urgent",
             frozenset(self._excluded),
         )
@@ -234,40 +224,6 @@
             "repeatable": self._repeatable,
         }
 
-    def _prepare_body(self) -> tuple[bytes, Amount]:
-        """Return the body to send and the amount that the call can use at most."""
-        call = self._call
-        if call.model is None:
-            return call.body, Amount(calls=1)
-        document = json.loads(call.body)
-        document["messages"] = self._messages
-        prompt = json.dumps(self._messages, ensure_ascii=False).encode()
-        # No tokenizer makes more tokens than bytes, so the reservation is never too small.
-        prompt_bound = len(prompt)
-        left = self._journal.tokens_left
-        if left is not None:
-            room = left - prompt_bound
-            stated = "max_tokens" in document or "max_completion_tokens" in document
-            if room < 1 or (stated and call.max_tokens > room):
-                raise BudgetExceededError(
-                    f"budget of tokens exhausted: {left} left, "
-                    f"{prompt_bound + call.max_tokens} may be used"
-                )
-            if not stated:
-                document["max_tokens"] = min(call.max_tokens, room)
-        if call.stream:
-            self._request_usage(document)
-        limit = document.get("max_completion_tokens") or document.get("max_tokens")
-        tokens = prompt_bound + (limit or call.max_tokens)
-        return json.dumps(document, ensure_ascii=False).encode(), Amount(tokens, 1)
-
-    def _request_usage(self, document: dict[str, Any]) -> None:
-        """Ask the engine for the usage, which the budget needs, and hide it from others."""
-        options = document.get("stream_options")
-        options = dict(options) if isinstance(options, dict) else {}
-        self._hides_usage = options.get("include_usage") is not True
-        document["stream_options"] = {**options, "include_usage": True}
-
     async def _attempt_at(
         self, target: Target, attempt_id: str, body: bytes, amount: Amount
     ) -> Answer:
@@ -349,21 +305,18 @@
             elif target is not None:
                 self._tools.directory.observe_load(target.view.name, part.load)
         raw = b"".join(body)
-        answer = Answer(head.status, head.headers, self._visible(raw))
+        answer = Answer(head.status, head.headers, self._body.visible(raw))
         await self._end_turn(attempt_id, answer, amount, grant, raw)
         self._send_rest(answer, splitter, sent)
         return answer
 
     def _send_events(self, splitter: EventSplitter, data: bytes, sent: int) -> int:
-        ready = self._visible(splitter.feed(data))
+        ready = self._body.visible(splitter.feed(data))
         if not ready:
             return 0
         self._stream.send(Chunk(sent, ready))
         return 1
 
-    def _visible(self, events: bytes) -> bytes:
-        return without_usage_event(events) if self._hides_usage else events
-
     def _send_rest(self, answer: Answer, splitter: EventSplitter, sent: int) -> None:
         rest = answer.body
         if self._stream.started:
@@ -400,7 +353,7 @@
             # An engine that reports no usage is charged the whole reservation.
             used = Amount(summary.total_tokens or amount.tokens, 1)
             if summary.message is not None:
-                messages = [*self._messages, summary.message]
+                messages = [*self._body.messages, summary.message]
         if grant is not None and self._tools.claims is not None:
             self._tools.claims.report(grant, answer.status, answer.headers, answer.body)
         try:
@@ -455,14 +408,3 @@
             if self._stream.started or isinstance(error, MayHaveRunError):
                 raise
             return None
-
-
-def request_digest(call: CallRequest) -> str:
-    """Return a checksum of what a repeated request must have in common."""
-    parts = [call.method, call.path, call.service or "", call.body.decode("latin-1")]
-    return digest(json.dumps(parts).encode())
-
-
-def _estimated_tokens(messages: list[Any]) -> int:
-    characters = sum(len(str(message.get("content", ""))) for message in messages)
-    return characters // 4 + 1
--- a/src/jayvalve/internal/entry/programs.py
+++ b/src/jayvalve/internal/entry/programs.py
@@ -15,8 +15,9 @@
     ProgramUnknownError,
 )
 from jayvalve.internal.configuration import BudgetRule
+from jayvalve.internal.entry.call_body import request_digest
 from jayvalve.internal.entry.call_stream import CallStream
-from jayvalve.internal.entry.execution import CallExecution, ExecutionTools, request_digest
+from jayvalve.internal.entry.execution import CallExecution, ExecutionTools
 from jayvalve.internal.entry.journal import Answer, EphemeralJournal, ProgramJournal
 from jayvalve.internal.entry.request import BudgetLimits, CallRequest
 from jayvalve.internal.hashing import digest
