--- a/src/jayvalve/internal/configuration/__init__.py
+++ b/src/jayvalve/internal/configuration/__init__.py
@@ -20,7 +20,6 @@
     Rules,
     Targets,
 )
-from jayvalve.internal.configuration.validation import load_schema
 
 __all__ = [
     "STREAM",
@@ -46,7 +45,6 @@
     "Targets",
     "Version",
     "diff",
-    "load_schema",
     "make_plan",
     "parse_record",
     "renewal_age_s",
--- a/src/jayvalve/internal/configuration/document.py
+++ b/src/jayvalve/internal/configuration/document.py
@@ -7,8 +7,9 @@
 
 from jayvalve.errors import InvalidSettingsError
 from jayvalve.internal.configuration.rules import Rules
-from jayvalve.internal.configuration.validation import check_document, parse_json
+from jayvalve.internal.configuration.validation import check_document
 from jayvalve.internal.hashing import digest
+from jayvalve.internal.schema import parse_json
 
 __all__ = ["Document", "Endpoint", "Inventory", "Limits", "Model"]
 
@@ -117,7 +118,7 @@
             InvalidSettingsError: lists every fault with its JSON path and reason.
 
         """
-        return cls.from_value(parse_json(text))
+        return cls.from_value(parse_json(text, "configuration"))
 
     @classmethod
     def from_value(cls, value: Any) -> "Document":
--- a/src/jayvalve/internal/configuration/validation.py
+++ b/src/jayvalve/internal/configuration/validation.py
@@ -1,47 +1,18 @@
 """Checks of configuration documents that report every fault with its path."""
 
-import functools
 import ipaddress
-import json
-import math
 from collections import Counter
-from importlib import resources
 from typing import Any
 
-from jsonschema import Draft202012Validator
-
 from jayvalve.errors import InvalidSettingsError
+from jayvalve.internal.schema import schema_faults
 
-__all__ = ["check_document", "load_schema", "parse_json"]
+__all__ = ["check_document"]
 
 # Keeps the error message readable when a whole file has the wrong shape.
 MAX_REPORTED_FAULTS = 50
-_PARTS = {"inventory": "inventory.json", "rules": "rules.json"}
-_REASON_LENGTH = 300
-
-
-@functools.cache
-def load_schema(name: str) -> dict[str, Any]:
-    """Return the JSON Schema in the package's file of that name."""
-    return json.loads(resources.files("jayvalve").joinpath("schemas", name).read_text("utf-8"))
-
-
-def parse_json(text: str | bytes) -> Any:
-    """Return the value in text.
-
-    Raises:
-        InvalidSettingsError: text is not JSON, repeats a key or holds NaN or Infinity.
-
-    """
-    try:
-        return json.loads(
-            text,
-            object_pairs_hook=_unique_keys,
-            parse_constant=_refuse_constant,
-            parse_float=_finite_float,
-        )
-    except (ValueError, RecursionError) as error:
-        raise InvalidSettingsError(f"configuration is not valid JSON: {error}") from error
+# Each part of a document has a schema of the same name.
+_PARTS = ("inventory", "rules")
 
 
 def check_document(value: Any) -> None:
@@ -57,47 +28,15 @@
     raise InvalidSettingsError("configuration is not valid: " + "; ".join(shown))
 
 
-def _unique_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
-    repeated = [key for key, count in Counter(key for key, _ in pairs).items() if count > 1]
-    if repeated:
-        raise ValueError(f"key {repeated[0]!r} occurs more than once in one object")
-    return dict(pairs)
-
-
-def _refuse_constant(name: str) -> None:
-    raise ValueError(f"{name} is not a JSON number")
-
-
-def _finite_float(text: str) -> float:
-    # Python reads 1e999 as infinity, which is not JSON when it is written again.
-    number = float(text)
-    if not math.isfinite(number):
-        raise ValueError(f"number {text:.40} is too large")
-    return number
-
-
 def _shape_faults(value: Any) -> list[str]:
     if not isinstance(value, dict):
         return ["$: must be an object with inventory and rules"]
     faults = [f"$.{key}: unknown key" for key in value if key not in _PARTS]
     if "inventory" not in value:
         faults.append("$.inventory: is required")
-    for part, schema_name in _PARTS.items():
+    for part in _PARTS:
         if part in value:
-            faults += _schema_faults(value[part], schema_name, f"$.{part}")
-    return faults
-
-
-def _schema_faults(value: Any, schema_name: str, prefix: str) -> list[str]:
-    validator = Draft202012Validator(load_schema(schema_name))
-    faults = []
-    for error in sorted(validator.iter_errors(value), key=lambda fault: fault.json_path):
-        path = prefix + error.json_path.removeprefix("$")
-        if error.validator == "additionalProperties":
-            known = error.schema.get("properties", {})
-            faults += [f"{path}.{key}: unknown key" for key in error.instance if key not in known]
-        else:
-            faults.append(f"{path}: {error.message[:_REASON_LENGTH]}")
+            faults += schema_faults(value[part], part, f"$.{part}")
     return faults
 
 
--- a/src/jayvalve/internal/schema.py
+++ b/src/jayvalve/internal/schema.py
@@ -1,15 +1,18 @@
-"""Validation of JSON documents against the schemas that ship with the package."""
+"""Strict JSON, and validation against the schemas that ship with the package."""
 
 import functools
 import importlib.resources
 import json
+import math
+from collections import Counter
 from typing import Any
 
-from jsonschema import Draft202012Validator
-
 from jayvalve.errors import InvalidSettingsError
 
-__all__ = ["check_document", "load_schema", "parse_json"]
+__all__ = ["check_document", "load_schema", "parse_json", "schema_faults"]
+
+# Keeps the error message readable when a whole file has the wrong shape.
+REASON_LENGTH = 300
 
 
 @functools.cache
@@ -20,23 +23,66 @@
 
 
 def parse_json(text: str | bytes, source: str) -> Any:
-    """Return the JSON value; an error names the source, line and column."""
+    """Return the JSON value in text.
+
+    Raises:
+        InvalidSettingsError: text is not JSON, repeats a key or holds NaN, Infinity or a
+            number too large for a float. The message names the source and, for a syntax
+            error, line and column.
+    """
     try:
-        return json.loads(text)
+        return json.loads(
+            text,
+            object_pairs_hook=_unique_keys,
+            parse_constant=_refuse_constant,
+            parse_float=_finite_float,
+        )
     except json.JSONDecodeError as error:
         raise InvalidSettingsError(
-            f"{source}: not valid JSON at line {error.lineno} column {error.colno}: {error.msg}"
+            f"{source} is not valid JSON at line {error.lineno} column {error.colno}: {error.msg}"
         ) from error
-    except (UnicodeDecodeError, RecursionError) as error:
-        raise InvalidSettingsError(f"{source}: not valid JSON: {error}") from error
+    except (ValueError, RecursionError) as error:
+        raise InvalidSettingsError(f"{source} is not valid JSON: {error}") from error
+
+
+def schema_faults(value: Any, schema_name: str, prefix: str = "$") -> list[str]:
+    """Return each fault as "path: reason"; paths start with prefix."""
+    # Imported on use: a stand-in without a settings file does not need it.
+    from jsonschema import Draft202012Validator
+
+    validator = Draft202012Validator(load_schema(schema_name))
+    faults = []
+    for error in sorted(validator.iter_errors(value), key=lambda fault: fault.json_path):
+        path = prefix + error.json_path.removeprefix("$")
+        if error.validator == "additionalProperties":
+            known = error.schema.get("properties", {})
+            faults += [f"{path}.{key}: unknown key" for key in error.instance if key not in known]
+        else:
+            faults.append(f"{path}: {error.message[:REASON_LENGTH]}")
+    return faults
 
 
 def check_document(document: Any, schema_name: str, source: str) -> None:
     """Raise InvalidSettingsError that lists the path and reason of every fault."""
-    validator = Draft202012Validator(load_schema(schema_name))
-    faults = [
-        f"{fault.json_path}: {fault.message}"
-        for fault in sorted(validator.iter_errors(document), key=lambda fault: fault.json_path)
-    ]
+    faults = schema_faults(document, schema_name)
     if faults:
         raise InvalidSettingsError(f"{source}: " + "; ".join(faults))
+
+
+def _unique_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    repeated = [key for key, count in Counter(key for key, _ in pairs).items() if count > 1]
+    if repeated:
+        raise ValueError(f"key {repeated[0]!r} occurs more than once in one object")
+    return dict(pairs)
+
+
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f"{name} is not a JSON number")
+
+
+def _finite_float(text: str) -> float:
+    # Python reads 1e999 as infinity, which is not JSON when it is written again.
+    number = float(text)
+    if not math.isfinite(number):
+        raise ValueError(f"number {text:.40} is too large")
+    return number
