--- a/tests/slow/test_scenarios.py
+++ b/tests/slow/test_scenarios.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from jayvalve.internal.hashing import partition
 from tests.scenarios.interpreter import run_scenario
 from tests.scenarios.language import HEAD_FIELDS, load_scenario
 from tests.support import AsyncTestCase
@@ -12,6 +13,8 @@
 DIRECTORY = pathlib.Path(__file__).parents[1] / "scenarios"
 # A release by the sidecar's sweep takes 60 s of idleness and up to 30 s more.
 SCENARIO_LIMIT_S = 200.0
+TEST_TIMEOUT_S = 220
+GROUPS = 3
 
 
 class ScenarioTests(AsyncTestCase):
@@ -25,8 +28,9 @@
             self.run_async(work, SCENARIO_LIMIT_S)
 
     test.__doc__ = "; ".join(load_scenario(path).head[field] for field in HEAD_FIELDS)
-    # One worker runs all scenarios, so that one deployment of 23 processes exists at a time.
-    marked = pytest.mark.xdist_group("deployments")(pytest.mark.timeout(220)(test))
+    # Each group runs in one worker, so at most GROUPS deployments of 23 processes exist at a time.
+    group = f"deployments-{partition(path.stem, GROUPS)}"
+    marked = pytest.mark.xdist_group(group)(pytest.mark.timeout(TEST_TIMEOUT_S)(test))
     setattr(ScenarioTests, f"test_{path.stem}", marked)
 
 
