--- a/src/jayvalve/demo.py
+++ b/src/jayvalve/demo.py
@@ -199,7 +199,7 @@
             self._checks.check(
                 5,
                 response.code == 200 and bool(answer),
-                f"{program} {turn}: {response.body[:80]!r}",
+                f"{program} {turn}: {response.body[:250]!r}",
             )
             self._checks.check(
                 1, response.headers.get("Jayvalve-Turn") == str(turn), f"{program} turn {turn}"
--- a/src/jayvalve/internal/entry/endpoints.py
+++ b/src/jayvalve/internal/entry/endpoints.py
@@ -1,6 +1,7 @@
 """What an entry knows about the endpoints of the inventory."""
 
 import random
+from collections.abc import Iterable
 
 import attrs
 
@@ -59,7 +60,6 @@
         self._router = Router(policy, self._cache, Distances(data_centre), rng or random.Random())
         self._endpoints: dict[str, Endpoint] = {}
         self._views: dict[str, EndpointView] = {}
-        self._used_by: dict[str, set[str]] = {}
 
     @property
     def cache(self) -> CacheView:
@@ -132,14 +132,10 @@
         if name not in self.models():
             raise ModelUnknownError(f"model {name!r} is not in the inventory")
 
-    def forget_program(self, key: str) -> list[Member]:
-        """Return the sidecars that ran calls of a root program, and forget about it."""
-        names = self._used_by.pop(key, set()) & self._endpoints.keys()
-        return [sidecar for name in names if (sidecar := self._sidecar(name)) is not None]
-
-    def note_use(self, key: str, endpoint: str) -> None:
-        """Record that a call of a root program goes to the endpoint."""
-        self._used_by.setdefault(key, set()).add(endpoint)
+    def sidecars(self, names: Iterable[str]) -> list[Member]:
+        """Return the known sidecars of these endpoints; other endpoints are left out."""
+        found = [self._sidecar(name) for name in names if name in self._endpoints]
+        return [sidecar for sidecar in found if sidecar is not None]
 
     def sidecar(self, name: str, incarnation: int) -> Member | None:
         """Return the sidecar of an endpoint if this incarnation is still known to run."""
--- a/src/jayvalve/internal/entry/execution.py
+++ b/src/jayvalve/internal/entry/execution.py
@@ -188,7 +188,6 @@
             raise DeadlineExceededError("the deadline has passed", verdict=Verdict.NOT_RUN)
         target = self._tools.directory.choose(self._routing_call(attempt_id))
         started_s = self._tools.clock.now()
-        self._journal.note_endpoint(target.endpoint.name)
         self._stream.note_attempt(self._turn, target.endpoint.name)
         try:
             body, amount = self._body.prepare()
--- a/src/jayvalve/internal/entry/journal.py
+++ b/src/jayvalve/internal/entry/journal.py
@@ -1,6 +1,5 @@
 """Where an execution records its intents and turns."""
 
-from collections.abc import Callable
 from typing import Any, Protocol
 
 import attrs
@@ -51,9 +50,6 @@
     def open_intent(self, turn: int) -> Intent | None:
         """Return an intent of this turn that an earlier owner left open."""
 
-    def note_endpoint(self, endpoint: str) -> None:
-        """Take note that a call goes to the endpoint, which may then hold memory for it."""
-
     async def intend(self, fields: dict[str, Any], amount: Amount) -> None:
         """Record an attempt before it is dispatched."""
 
@@ -79,9 +75,7 @@
         table: OwnershipTable,
         program: Program,
         agent: ProgramId,
-        note_endpoint: Callable[[str, str], None],
     ) -> None:
-        self._note_endpoint = note_endpoint
         self._table = table
         self._program = program
         self._agent = agent
@@ -107,10 +101,6 @@
                 return intent
         return None
 
-    def note_endpoint(self, endpoint: str) -> None:
-        """Remember the endpoint for the release at the program's end."""
-        self._note_endpoint(self._program.identity.key, endpoint)
-
     async def intend(self, fields: dict[str, Any], amount: Amount) -> None:
         """Replicate an intent."""
         record = self._program.intent_record(self._agent.name, amount=amount, **fields)
@@ -156,9 +146,6 @@
     def open_intent(self, turn: int) -> None:
         """Return None: there is no earlier owner."""
 
-    def note_endpoint(self, endpoint: str) -> None:
-        """Remember nothing: the sidecar's sweep frees what a single call leaves."""
-
     async def intend(self, fields: dict[str, Any], amount: Amount) -> None:
         """Record nothing."""
 
--- a/src/jayvalve/internal/entry/programs.py
+++ b/src/jayvalve/internal/entry/programs.py
@@ -212,9 +212,7 @@
             deadline = self._deadline(owned.program, identity, call)
 
             async def execute(turn: int) -> Answer:
-                journal = ProgramJournal(
-                    self._table, owned.program, identity, self._tools.directory.note_use
-                )
+                journal = ProgramJournal(self._table, owned.program, identity)
                 term = owned.writer.term
                 execution = CallExecution(self._tools, call, turn, journal, term, stream, deadline)
                 return await execution.run()
--- a/src/jayvalve/internal/entry/service.py
+++ b/src/jayvalve/internal/entry/service.py
@@ -100,9 +100,11 @@
         if unreached:
             _log.warning("{} kept a copy of ended program {}", sorted(unreached), identity.key)
         self._calls.finish(owned)
-        release = ReleaseProgram(identity.key, term.epoch, term.handover)
-        for sidecar in self._directory.forget_program(identity.key):
-            self._spawn(self._release(sidecar, release))
+        keys = [ProgramId(identity.organisation, name).key for name in owned.program.agents]
+        for sidecar in self._directory.sidecars(owned.program.endpoints):
+            for key in keys:
+                release = ReleaseProgram(key, term.epoch, term.handover)
+                self._spawn(self._release(sidecar, release))
 
     async def _serve_call(self, request: Forward) -> AsyncIterator[Any]:
         call = CallRequest.from_parts(
--- a/src/jayvalve/internal/programs/history.py
+++ b/src/jayvalve/internal/programs/history.py
@@ -80,6 +80,8 @@
         self.agents: dict[str, Agent] = {}
         self.intents: dict[str, Intent] = {}
         self.member_sets: list[list[str]] = []
+        # Endpoints that may hold memory for the program, also those of earlier owners.
+        self.endpoints: set[str] = set()
         self.ended = False
         self._count = 0
 
@@ -255,6 +257,7 @@
         reservation = self.agent(record.agent).budget.reserve(amount)
         intent = Intent(agent=record.agent, reservation=reservation, **fields)
         self.intents[intent.attempt_id] = intent
+        self.endpoints.add(intent.endpoint)
 
     def _apply_turn(self, record: Record) -> None:
         fields = record.fields
