Keep apart what is unknown and what is not known yet

The simulated streams of the fault search learn partial reads, without which every connection closed at once.

--- a/src/jayvalve/internal/entry/endpoints.py
+++ b/src/jayvalve/internal/entry/endpoints.py
@@ -60,6 +60,7 @@
         self._router = Router(policy, self._cache, Distances(data_centre), rng or random.Random())
         self._endpoints: dict[str, Endpoint] = {}
         self._views: dict[str, EndpointView] = {}
+        self._has_inventory = False
 
     @property
     def cache(self) -> CacheView:
@@ -88,6 +89,7 @@
                 self._views[name].load = known.load
             self._views[name].load.limit = item.limits.max_running
         self._endpoints = inventory
+        self._has_inventory = True
         self._outliers.set_endpoints(inventory)
 
     def demand(self) -> dict[str, float]:
@@ -121,17 +123,35 @@
         view.capabilities = (*others, Capability(model=model)) if loaded else others
 
     def service(self, name: str) -> Endpoint:
-        """Return any endpoint that provides the service, or raise ServiceUnknownError."""
+        """Return any endpoint that provides the service.
+
+        Raises:
+            ServiceUnknownError: the inventory does not list the service.
+            NoEndpointError: no inventory is known yet.
+        """
+        self._require_inventory()
         for item in self.endpoints:
             if name in item.services:
                 return item
         raise ServiceUnknownError(f"service {name!r} is not in the inventory")
 
     def check_model(self, name: str) -> None:
-        """Raise ModelUnknownError unless the inventory has the model."""
+        """Return if the inventory has the model.
+
+        Raises:
+            ModelUnknownError: the inventory does not list the model.
+            NoEndpointError: no inventory is known yet.
+        """
+        self._require_inventory()
         if name not in self.models():
             raise ModelUnknownError(f"model {name!r} is not in the inventory")
 
+    def _require_inventory(self) -> None:
+        # Other entries forward calls to one that has just started. Without its inventory it
+        # reported models as unknown, which callers take as final.
+        if not self._has_inventory:
+            raise NoEndpointError("this entry has started and has no inventory yet")
+
     def sidecars(self, names: Iterable[str]) -> list[Member]:
         """Return the known sidecars of these endpoints; other endpoints are left out."""
         found = [self._sidecar(name) for name in names if name in self._endpoints]
--- a/src/jayvalve/internal/measure/faults/network.py
+++ b/src/jayvalve/internal/measure/faults/network.py
@@ -131,10 +131,10 @@
         """Deliver nothing in either direction until a time."""
         self._incoming.stalled_until_s = self._outgoing.stalled_until_s = until_s
 
-    async def read_bytes(self, count: int) -> bytes:
-        """Return the next count bytes."""
+    async def read_bytes(self, count: int, partial: bool = False) -> bytes:
+        """Return the next count bytes; with partial, what has arrived up to count."""
         pipe = self._incoming
-        while len(pipe.buffer) < count:
+        while len(pipe.buffer) < (1 if partial else count):
             if self._closed or pipe.ended:
                 raise StreamClosedError()
             pipe.waiting = asyncio.get_running_loop().create_future()
