--- a/tests/slow/test_fault_search.py
+++ b/tests/slow/test_fault_search.py
@@ -23,7 +23,7 @@
     "no_release_on_end": 0,
     "publish_ignores_parent": 0,
     "reservations_not_held": 1,
-    "sidecar_forgets_attempts": 3,
+    "sidecar_forgets_attempts": 59,
     "turns_in_arrival_order": 0,
     "work_until_exit": 117,
 }
