Ask two candidates for their load when reports are old

The design bounds control traffic by sparse heartbeats, and large deployments then route on old figures; LoadQuery existed but nothing sent it. An entry now asks two random candidates (power of two choices), at most 10 queries a second; the report carries the urgent calls that wait.

--- a/src/jayvalve/internal/entry/app.py
+++ b/src/jayvalve/internal/entry/app.py
@@ -27,6 +27,7 @@
 from jayvalve.internal.entry.epochs import EpochSource
 from jayvalve.internal.entry.execution import AttemptIds, ExecutionTools
 from jayvalve.internal.entry.key_claims import KeyClaims
+from jayvalve.internal.entry.load_probe import LoadProbe
 from jayvalve.internal.entry.members import ENTRY_ROLE, EntryMembers
 from jayvalve.internal.entry.placement import ProgramPlacement
 from jayvalve.internal.entry.programs import ProgramCalls
@@ -158,6 +159,9 @@
             self._settings.data_centre,
             self._clock,
         )
+        self._directory.use_probe(
+            LoadProbe(runtime.pool, self._clock, runtime.spawn, self._directory.observe_load)
+        )
         dispatcher = AttemptDispatcher(runtime.pool, runtime.view)
         self._relays: ClaimRelays | None = None
         self._claims: KeyClaims | None = None
--- a/src/jayvalve/internal/entry/endpoints.py
+++ b/src/jayvalve/internal/entry/endpoints.py
@@ -7,6 +7,7 @@
 
 from jayvalve.errors import ModelUnknownError, NoEndpointError, ServiceUnknownError
 from jayvalve.internal.configuration import Document, Endpoint
+from jayvalve.internal.entry.load_probe import STALE_AFTER_S, Candidate, LoadProbe
 from jayvalve.internal.limits import OutlierDetector
 from jayvalve.internal.membership import Member, MembershipView, MemberState
 from jayvalve.internal.routing import (
@@ -61,6 +62,7 @@
         self._endpoints: dict[str, Endpoint] = {}
         self._views: dict[str, EndpointView] = {}
         self._has_inventory = False
+        self._probe: LoadProbe | None = None
 
     @property
     def cache(self) -> CacheView:
@@ -177,13 +179,31 @@
         Raises:
             NoEndpointError: no live endpoint covers the need.
         """
-        view = self._router.route(call, self.views(), self._clock.now())
+        now = self._clock.now()
+        views = self.views()
+        view = self._router.route(call, views, now)
+        if self._probe is not None and view.load.age_s(now) > STALE_AFTER_S:
+            self._probe.consider(self._candidates(call, views, now))
         sidecar = self._sidecar(view.name)
         if sidecar is None:
             raise NoEndpointError(f"the sidecar of {view.name} is gone")
         self._outliers.record_dispatch(view.name, self._clock.now())
         return Target(self._endpoints[view.name], view, sidecar)
 
+    def use_probe(self, probe: LoadProbe) -> None:
+        """Ask for fresh load figures through this probe."""
+        self._probe = probe
+
+    def _candidates(
+        self, call: RoutingCall, views: list[EndpointView], now: float
+    ) -> list[Candidate]:
+        found = []
+        for view in self._router.candidates(call, views):
+            sidecar = self._sidecar(view.name)
+            if sidecar is not None:
+                found.append(Candidate(view.name, sidecar, view.load.age_s(now)))
+        return found
+
     def completed(self, call_id: object, target: Target, service_s: float) -> None:
         """Record the end of an attempt that took service_s seconds."""
         self._router.completed(call_id, target.view, service_s)
--- a/src/jayvalve/internal/sidecar/execution.py
+++ b/src/jayvalve/internal/sidecar/execution.py
@@ -115,7 +115,13 @@
         """Report the present load."""
         load = self._gate.load()
         state = "draining" if self._is_draining() else "live"
-        return LoadReport(load["running"], load["waiting"], load["limit"], state=state)
+        return LoadReport(
+            load["running"],
+            load["waiting"],
+            load["limit"],
+            state=state,
+            waiting_urgent=load["waiting_urgent"],
+        )
 
     async def order(self, context: PeerContext, message: Order) -> Accepted:
         """Pass an order on to the endpoint if its fencing number is the highest."""
--- a/src/jayvalve/internal/wire/messages.py
+++ b/src/jayvalve/internal/wire/messages.py
@@ -396,6 +396,7 @@
     limit: int = _integer()
     tokens_per_s: float = _number(0.0)
     state: str = _string("live")
+    waiting_urgent: int = _integer(0)
 
 
 @message("order")
--- a/tests/cover/test_endpoints.py
+++ b/tests/cover/test_endpoints.py
@@ -1,14 +1,17 @@
 """Checks of what an entry knows about endpoints."""
 
+import asyncio
+
 from testtools import TestCase
 
 from jayvalve.errors import ModelUnknownError, NoEndpointError, ServiceUnknownError
 from jayvalve.internal.configuration import Document
 from jayvalve.internal.entry.endpoints import EndpointDirectory
+from jayvalve.internal.entry.load_probe import Candidate, LoadProbe
 from jayvalve.internal.limits import OutlierDetector
-from jayvalve.internal.membership import MembershipView
+from jayvalve.internal.membership import Member, MembershipView
 from jayvalve.internal.timing import ManualClock
-from jayvalve.internal.wire.messages import Hello
+from jayvalve.internal.wire.messages import Hello, LoadReport
 
 DOCUMENT = {
     "inventory": {
@@ -46,3 +49,44 @@
         directory.check_model("writer")
         self.assertRaises(ModelUnknownError, directory.check_model, "reader")
         self.assertRaises(ServiceUnknownError, directory.service, "fees")
+
+
+class LoadProbeTest(TestCase):
+    """Guards the bound on probes and their effect on the load view."""
+
+    def candidates(self, count, age_s=5.0):
+        return [
+            Candidate(
+                f"engine-{n}", Member(f"s{n}", 1, "sidecar", "turin", f"10.0.0.{n}:7000"), age_s
+            )
+            for n in range(count)
+        ]
+
+    def test_two_stale_candidates_are_asked_and_their_answers_observed(self):
+        class Pool:
+            async def call(self, address, message, timeout_s):
+                return LoadReport(1, 2, 3, waiting_urgent=1)
+
+        started, observed = [], {}
+        probe = LoadProbe(Pool(), ManualClock(), started.append, observed.__setitem__)
+        self.assertEqual(0, probe.consider(self.candidates(5, age_s=0.1)))
+        self.assertEqual(2, probe.consider(self.candidates(5)))
+        for query in started:
+            asyncio.run(query)
+        self.assertEqual(2, len(observed))
+        self.assertEqual(
+            {(1, 2, 3, 1)},
+            {
+                (load["running"], load["waiting"], load["limit"], load["waiting_urgent"])
+                for load in observed.values()
+            },
+        )
+
+    def test_queries_stay_below_ten_a_second(self):
+        """Guards the control traffic of an entry that routes thousands of calls a second."""
+        clock, started = ManualClock(), []
+        probe = LoadProbe(None, clock, lambda query: started.append(query.close()), dict.get)
+        for _ in range(1000):
+            clock.advance(0.01)
+            probe.consider(self.candidates(2000))
+        self.assertTrue(90 <= len(started) <= 110, len(started))
