--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test format clean
+.PHONY: binary demo test format clean
 
 $(STAMP): requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -19,6 +19,17 @@
 	$(BIN)/ruff check src tests
 	$(BIN)/python -m pytest -n 6 --dist loadgroup --junitxml=.test-report.xml
 
+# One file for entry, sidecar and the operator's commands; see docs/binary.md. Plots and the
+# measurement tool's fits need packages that the file leaves out.
+LEFT_OUT := matplotlib|contourpy|cycler|fonttools|kiwisolver|numpy|pillow|pyparsing|python-dateutil
+DEVELOPMENT := hypothesis|openai|pytest|ruff|testtools|execnet|setuptools|shiv|click|anyio|h11
+DEVELOPMENT := $(DEVELOPMENT)|httpcore2|httpx2|idna|iniconfig|jiter|pluggy|pydantic|sniffio|truststore
+binary: $(STAMP)
+	mkdir -p dist
+	grep -v -i -E '^($(LEFT_OUT)|$(DEVELOPMENT))' requirements.txt > dist/requirements.txt
+	$(BIN)/shiv --quiet --compressed --no-deps --console-script jayvalve --root /dev/shm/jayvalve \
+		--output-file dist/jayvalve -r dist/requirements.txt .
+
 format: $(STAMP)
 	$(BIN)/ruff format src tests
 	$(BIN)/ruff check --fix src tests
--- a/src/jayvalve/cli.py
+++ b/src/jayvalve/cli.py
@@ -30,6 +30,8 @@
 
 EXIT_FAILED = 1
 EXIT_ERROR = 2
+# The one-file build leaves these out; only plots and fits of measurements need them.
+OPTIONAL_PACKAGES = ("matplotlib", "numpy")
 
 
 def _run_process(process_type: type, config: str) -> None:
@@ -164,3 +166,12 @@
             message = " ".join(error.message.split())
             print(f"jayvalve: {error.code}: {message}", file=sys.stderr)
             sys.exit(EXIT_ERROR if isinstance(error, InvalidRequestError) else EXIT_FAILED)
+        except ModuleNotFoundError as error:
+            if error.name not in OPTIONAL_PACKAGES:
+                raise
+            print(
+                f"jayvalve: this build leaves out the package {error.name}, which the command "
+                "needs; use an installation with pip",
+                file=sys.stderr,
+            )
+            sys.exit(EXIT_ERROR)
--- a/src/jayvalve/deployments/processes.py
+++ b/src/jayvalve/deployments/processes.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+import zipfile
 from typing import Any
 
 import attrs
@@ -18,7 +19,7 @@
 from jayvalve.deployments.in_process import publish_document
 from jayvalve.errors import InternalError
 
-__all__ = ["ProcessDeployment", "free_ports"]
+__all__ = ["PortBlock", "ProcessDeployment"]
 
 LOOPBACK = "127.0.0.1"
 READY_TIMEOUT_S = 30.0
@@ -30,19 +31,53 @@
 # Below the range that Linux gives to outgoing connections (32768 to 60999), so that none takes
 # a port between its choice here and its use by a process.
 PORT_RANGE = (12_000, 32_000)
+BLOCK_PORTS = 100
 
 
-def free_ports(count: int) -> list[int]:
-    """Return free TCP ports on loopback; all are held until the last one is known."""
-    with contextlib.ExitStack() as stack:
-        ports: list[int] = []
-        while len(ports) < count:
-            port = random.randint(*PORT_RANGE)
-            held = stack.enter_context(socket.socket())
-            with contextlib.suppress(OSError):
-                held.bind((LOOPBACK, port))
-                ports.append(port)
-        return ports
+class PortBlock:
+    """Ports on loopback that no other deployment of this machine takes.
+
+    The first port of the block stays bound and marks the others as taken; deployments that
+    chose single free ports took each other's before their processes had bound them.
+    """
+
+    def __init__(self) -> None:
+        first, last = PORT_RANGE
+        bases = list(range(first, last, BLOCK_PORTS))
+        random.shuffle(bases)
+        for base in bases:
+            guard = socket.socket()
+            try:
+                guard.bind((LOOPBACK, base))
+            except OSError:
+                guard.close()
+                continue
+            self._guard = guard
+            self._next = base + 1
+            self._end = base + BLOCK_PORTS
+            return
+        raise InternalError("no free block of ports on loopback")
+
+    def take(self) -> int:
+        """Return a port of the block that is free now."""
+        while self._next < self._end:
+            port, self._next = self._next, self._next + 1
+            with socket.socket() as probe, contextlib.suppress(OSError):
+                probe.bind((LOOPBACK, port))
+                return port
+        raise InternalError("the block of ports is used up")
+
+    def close(self) -> None:
+        """Give the block back."""
+        self._guard.close()
+
+
+def own_command() -> list[str]:
+    """Return the command that starts this program, installed or as one file."""
+    program = pathlib.Path(sys.argv[0])
+    if program.is_file() and zipfile.is_zipfile(program):
+        return [sys.executable, str(program.resolve())]
+    return [sys.executable, "-m", "jayvalve"]
 
 
 @attrs.define
@@ -79,8 +114,14 @@
         self._peer: dict[str, str] = {}
         self._http: dict[str, str] = {}
         self._standin: dict[str, str] = {}
+        self._ports = PortBlock()
         self._assign_addresses()
 
+    @property
+    def ports(self) -> PortBlock:
+        """Ports that belong to this deployment."""
+        return self._ports
+
     @property
     def deployment(self) -> Deployment:
         """What is run."""
@@ -191,16 +232,17 @@
                 process.handle.kill()
         for process in running:
             process.handle.wait()
+        self._ports.close()
 
     def _assign_addresses(self) -> None:
         sidecars, entries = self.sidecar_names, self.entry_names
         standins = ["log", *(plan.name for plan in self._deployment.endpoints)]
-        ports = iter(free_ports(2 * len(sidecars + entries) + len(standins)))
+        take = self._ports.take
         for name in sidecars + entries:
-            self._peer[name] = f"{LOOPBACK}:{next(ports)}"
-            self._http[name] = f"{LOOPBACK}:{next(ports)}"
+            self._peer[name] = f"{LOOPBACK}:{take()}"
+            self._http[name] = f"{LOOPBACK}:{take()}"
         for name in standins:
-            self._standin[name] = f"http://{LOOPBACK}:{next(ports)}"
+            self._standin[name] = f"http://{LOOPBACK}:{take()}"
         self._add_standin("log", "log", {})
         for plan in self._deployment.endpoints:
             self._add_standin(plan.name, plan.standin, plan.standin_config())
@@ -244,7 +286,7 @@
         return path
 
     def _add(self, name: str, arguments: list[str]) -> None:
-        command = [sys.executable, "-m", "jayvalve", *arguments]
+        command = [*own_command(), *arguments]
         self._processes[name] = _Process(name, command, self._directory / f"{name}.log")
 
     def _require(self, name: str) -> subprocess.Popen[bytes]:
--- a/src/jayvalve/internal/entry/__init__.py
+++ b/src/jayvalve/internal/entry/__init__.py
@@ -1,1 +1,1 @@
-"""Package entry."""
+"""The entry: serves callers, owns programs and routes their calls."""
--- a/tests/cover/test_operator_run.py
+++ b/tests/cover/test_operator_run.py
@@ -3,8 +3,10 @@
 import asyncio
 import contextlib
 import json
+import re
 import socket
 import threading
+import time
 import uuid
 from unittest import mock
 
@@ -275,7 +277,12 @@
 
     def test_status_shows_all_parts_and_names_entries_that_are_down(self):
         self._chat("status-1", Jayvalve_Rank="urgent")
-        code, text, _ = run_cli("status", "--entries", f"{self.entries},{NOWHERE}")
+        # An entry learns a sidecar's version with its next heartbeat.
+        for _ in range(50):
+            code, text, _ = run_cli("status", "--entries", f"{self.entries},{NOWHERE}")
+            if not re.search(r"sidecar-\S+ +sidecar +\S+ +live +0\n", text):
+                break
+            time.sleep(0.1)
         self.assertEqual(0, code)
         self.assertIn(f"{NOWHERE} did not answer", text)
         self.assertRegex(text, r"entry-catania +entry +catania +live +1\n")
--- a/tests/scenarios/network.py
+++ b/tests/scenarios/network.py
@@ -6,7 +6,7 @@
 import sys
 from typing import Any
 
-from jayvalve.deployments.processes import ProcessDeployment, free_ports
+from jayvalve.deployments.processes import ProcessDeployment
 from jayvalve.internal.wire import HEADER, decode
 
 __all__ = ["ProxiedDeployment"]
@@ -128,17 +128,7 @@
         super()._add(name, arguments)
         if name in self._peer:
             address = self._peer[name]
-            hidden = self._unused_port()
+            hidden = self.ports.take()
             self._proxies[name] = PeerProxy(address, hidden)
             command = [sys.executable, str(LAUNCHER), address, str(hidden), *arguments]
             self._processes[name].arguments = command
-
-    def _unused_port(self) -> int:
-        """Return a port that no process and no proxy of this deployment uses."""
-        used = {f":{proxy.hidden_port}" for proxy in self._proxies.values()}
-        addresses = [*self._peer.values(), *self._http.values(), *self._standin.values()]
-        used |= {f":{address.rpartition(':')[2]}" for address in addresses}
-        while True:
-            (port,) = free_ports(1)
-            if f":{port}" not in used:
-                return port
