--- a/src/jayvalve/deployments/in_process.py
+++ b/src/jayvalve/deployments/in_process.py
@@ -102,7 +102,7 @@
         await publish_document(self._log_url, self.document(), 0, "local")
         await self._wait_ready()
         return (
-            f"jayvalve local ({self._deployment.name}) ready on {self.urls[0]}\n"
+            f"jayvalve local ({self._deployment.name}) ready on {self.urls[0]}; "
             f"entries on {','.join(self.urls)}, log on {self._log_url}"
         )
 
--- a/tests/slow/test_operator_pages.py
+++ b/tests/slow/test_operator_pages.py
@@ -91,10 +91,10 @@
             env=self._environment,
             text=True,
         )
-        ready, urls = self._process.stdout.readline(), self._process.stdout.readline()
-        entries, log = re.match(r"entries on (\S+), log on (\S+)$", urls).groups()
+        ready = self._process.stdout.readline()
+        pattern = r"ready on (\S+); entries on (\S+), log on (\S+)$"
+        entry, entries, log = re.search(pattern, ready).groups()
         self.log = log
-        entry = re.search(r"ready on (\S+)$", ready).group(1)
         self._environment.update({"ENTRY": entry, "ENTRIES": entries, "LOG": log})
         asyncio.run(add_uncertain_call(log))
         return self
