Give Jayvalve-Parent its effect

The header was listed and read but unused. It now makes the program a sub-agent of the named parent; without a program header the sub-agent gets a new name.

--- a/src/jayvalve/internal/entry/request.py
+++ b/src/jayvalve/internal/entry/request.py
@@ -88,7 +88,6 @@
     organisation: str
     program: str
     named: bool
-    parent: str | None
     turn: int | None
     request_id: str
     rank: str
@@ -128,7 +127,6 @@
             "organisation": organisation,
             "program": program,
             "named": named,
-            "parent": _optional_identifier(headers, "Jayvalve-Parent"),
             "turn": _turn(headers),
             "request_id": _optional_identifier(headers, "Jayvalve-Request") or uuid.uuid4().hex,
             "rank": _choice(headers, "Jayvalve-Rank", RANKS, "ordinary"),
@@ -168,13 +166,21 @@
 
 
 def _program(headers: Mapping[str, str], organisation: str) -> tuple[str, bool]:
+    """Return the program's name, and whether the caller named it.
+
+    With Jayvalve-Parent the program is a sub-agent, and its own name may be given with or
+    without the parent's in front.
+    """
     named = _optional_identifier(headers, "Jayvalve-Program")
+    parent = _optional_identifier(headers, "Jayvalve-Parent")
+    if parent is not None:
+        own = named.removeprefix(f"{parent}.") if named else f"agent-{uuid.uuid4().hex}"
+        return f"{parent}.{own}", True
     if named is not None:
         return named, True
     key = _key(headers)
     if key is not None:
-        # A call with only a key belongs to a program derived from the key, so that a retry
-        # through any entry reaches the same owner.
+        # Repetitions through different entries show as one program in logs and timelines.
         return "key-" + uuid.uuid5(uuid.NAMESPACE_OID, f"{organisation}\n{key}").hex, False
     return "single-" + uuid.uuid4().hex, False
 
--- a/tests/cover/test_local.py
+++ b/tests/cover/test_local.py
@@ -179,6 +179,35 @@
 
         self.assertEqual([200] * 4 + [402] * 5, self.with_deployment(scenario))
 
+    def test_parent_header_makes_a_sub_agent(self):
+        """Guards against a header that is documented and read but has no effect."""
+
+        async def scenario(deployment):
+            await self.send(
+                deployment,
+                "/v1/programs",
+                {},
+                {"Jayvalve-Program": "p", "Jayvalve-Budget": "calls=2"},
+            )
+            named = await self.send(
+                deployment, CHAT, chat_body("x"), {"Jayvalve-Parent": "p", "Jayvalve-Program": "a"}
+            )
+            unnamed = await self.send(deployment, CHAT, chat_body("x"), {"Jayvalve-Parent": "p"})
+            spent = await self.send(
+                deployment,
+                CHAT,
+                chat_body("x"),
+                {"Jayvalve-Parent": "p", "Jayvalve-Program": "p.a"},
+            )
+            orphan = await self.send(deployment, CHAT, chat_body("x"), {"Jayvalve-Parent": "none"})
+            names = [reply.headers.get("Jayvalve-Program") for reply in (named, unnamed)]
+            return names, spent.code, orphan.code
+
+        names, spent, orphan = self.with_deployment(scenario)
+        self.assertEqual("p.a", names[0])
+        self.assertTrue(names[1].startswith("p.agent-"), names[1])
+        self.assertEqual((402, 404), (spent, orphan))
+
     def test_program_of_another_organisation_is_not_found(self):
         """Guards P2: programs of the same name in two organisations stay apart."""
 
