--- a/src/jayvalve/internal/entry/key_claims.py
+++ b/src/jayvalve/internal/entry/key_claims.py
@@ -9,7 +9,12 @@
 import attrs
 from loguru import logger
 
-from jayvalve.errors import JayvalveError, MayHaveRunError, PeerUnavailableError
+from jayvalve.errors import (
+    JayvalveError,
+    LogUnavailableError,
+    MayHaveRunError,
+    PeerUnavailableError,
+)
 from jayvalve.internal.claims import BODY_DIGEST_HEADER, ClaimRelays, relay_of
 from jayvalve.internal.entry.dispatch import AttemptDispatcher
 from jayvalve.internal.membership import Member
@@ -173,8 +178,11 @@
                 return await self._pool.call(entries[relay], message, timeout_s)
             except PeerUnavailableError as error:
                 if deadline.remaining_s <= RETRY_INTERVAL_S:
-                    # No dispatch follows an error here, whatever became of the claim.
-                    raise PeerUnavailableError(error.message, verdict=Verdict.NOT_RUN) from error
+                    # No dispatch follows an error here, whatever became of the claim. To the
+                    # caller a silent relay and a silent log are the same condition.
+                    raise LogUnavailableError(
+                        f"no decision on the key in time: {error.message}"
+                    ) from error
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def _answer_here(self, message: Any, deadline: Deadline) -> ClaimDecision:
