Limit the time of each step of a peer stream, not of the whole

Cause: asyncio.timeout around a generator's yields also runs while the reader holds a reply, and then cancels the reader's task at an unrelated point. After a pause all such limits fire at once. A new test shows the cancellation on the old code and passes now.

--- a/src/jayvalve/internal/transport/connection.py
+++ b/src/jayvalve/internal/transport/connection.py
@@ -4,7 +4,7 @@
 import contextlib
 import itertools
 import ssl
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable
 from typing import Any
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -115,25 +115,16 @@
             self._last_received_s = self._clock.now()
         self._waiting[request_id] = replies
         finished = False
+        ends_at = asyncio.get_running_loop().time() + timeout_s
         try:
-            async with asyncio.timeout(timeout_s) as timer:
-                await self._send(request_id, message)
-                while True:
-                    envelope = await replies.get()
-                    if isinstance(envelope, JayvalveError):
-                        raise envelope
-                    finished = envelope.is_final
-                    self._raise_failure(envelope.message)
-                    yield envelope.message
-                    if finished:
-                        return
-        except TimeoutError as error:
-            if not timer.expired():
-                raise
-            raise PeerUnavailableError(
-                f"{self._peer.instance} sent no complete answer within {timeout_s:.3f} s",
-                verdict=Verdict.MAY_HAVE_RUN,
-            ) from error
+            await self._within(ends_at, timeout_s, self._send(request_id, message))
+            while not finished:
+                envelope = await self._within(ends_at, timeout_s, replies.get())
+                if isinstance(envelope, JayvalveError):
+                    raise envelope
+                finished = envelope.is_final
+                self._raise_failure(envelope.message)
+                yield envelope.message
         finally:
             self._waiting.pop(request_id, None)
             if not finished and not self.closed:
@@ -154,6 +145,24 @@
                 message.code, message.message, Verdict(message.verdict), message.retry_after_s
             )
 
+    async def _within(self, ends_at: float, timeout_s: float, step: Awaitable[Any]) -> Any:
+        """Wait for one step; ends_at is a time of the event loop.
+
+        A time limit around a whole stream would also run while the reader holds a reply. It
+        then cancelled the reader's task at an unrelated point, for example after a pause.
+
+        Raises:
+            PeerUnavailableError: the time has passed; verdict may_have_run.
+        """
+        try:
+            async with asyncio.timeout_at(ends_at):
+                return await step
+        except TimeoutError as error:
+            raise PeerUnavailableError(
+                f"{self._peer.instance} sent no complete answer within {timeout_s:.3f} s",
+                verdict=Verdict.MAY_HAVE_RUN,
+            ) from error
+
     async def _send(self, request_id: int, message: Any) -> None:
         try:
             await write_message(self._writer, request_id, message)
--- a/tests/cover/test_transport.py
+++ b/tests/cover/test_transport.py
@@ -112,6 +112,22 @@
         replies = self.run_async(scenario())
         self.assertEqual(["chunk"] * 3 + ["completed"], [reply.kind for reply in replies])
 
+    def test_time_limit_does_not_cancel_a_reader_that_holds_a_reply(self):
+        """Guards against a cancelled caller when a process was paused past a limit."""
+
+        async def scenario():
+            server, address = await start_server()
+            pool = PeerPool(hello("client"), Clock())
+            replies = []
+            async for reply in pool.stream(address, Resume("a", 0), 0.2):
+                replies.append(reply.kind)
+                await asyncio.sleep(0.3)
+            await pool.close()
+            await server.close()
+            return replies
+
+        self.assertEqual(["chunk"] * 3 + ["completed"], self.run_async(scenario()))
+
     def test_reported_error_keeps_code_verdict_and_delay(self):
         async def scenario():
             server, address = await start_server()
