Never report a call that ran as not run, nor a cut stream as whole

Found by reading: a known outcome whose turn could not be replicated was reported with the verdict not_run of the replication error, and a stream that ended inside an event lost its tail. Both now end with may_have_run; each has a test.

--- a/src/jayvalve/internal/entry/execution.py
+++ b/src/jayvalve/internal/entry/execution.py
@@ -10,8 +10,10 @@
 
 from jayvalve.errors import (
     DeadlineExceededError,
+    EndpointFailedError,
     JayvalveError,
     KeyRequiredError,
+    LogUnavailableError,
     MayHaveRunError,
 )
 from jayvalve.internal.entry.answers import EventSplitter, summarize
@@ -243,7 +245,7 @@
 
     async def _claim(self, target: Target, attempt_id: str) -> ClaimGrant:
         if self._tools.claims is None:
-            raise KeyRequiredError("this entry has no log service and runs no keyed calls")
+            raise LogUnavailableError("this entry has no log service and runs no keyed calls")
         return await self._tools.claims.claim(
             organisation=self._call.organisation,
             key=self._call.key or "",
@@ -303,6 +305,8 @@
                     sent += self._send_events(splitter, part.data, sent)
             elif target is not None:
                 self._tools.directory.observe_load(target.view.name, part.load)
+        if splitter.incomplete:
+            raise EndpointFailedError("the stream ended in the middle of an event")
         raw = b"".join(body)
         answer = Answer(head.status, head.headers, self._body.visible(raw))
         await self._end_turn(attempt_id, answer, amount, grant, raw)
@@ -355,6 +359,11 @@
                 messages = [*self._body.messages, summary.message]
         if grant is not None and self._tools.claims is not None:
             self._tools.claims.report(grant, answer.status, answer.headers, answer.body)
+        await self._replicate_turn(attempt_id, used, answer, messages)
+
+    async def _replicate_turn(
+        self, attempt_id: str, used: Amount, answer: Answer, messages: list[Any] | None
+    ) -> None:
         try:
             await self._journal.end_turn(attempt_id, used, answer, self.digest, messages)
         except JayvalveError as error:
@@ -366,7 +375,7 @@
         status, headers, body = grant.answer or (0, {}, b"")
         head = self._head(ResponseHead(status, headers))
         answer = Answer(status, head.headers, body)
-        await self._journal.end_turn(attempt_id, Amount(), answer, self.digest, None)
+        await self._replicate_turn(attempt_id, Amount(), answer, None)
         self._send_rest(answer, EventSplitter(), 0)
         return answer
 
--- /dev/null
+++ b/tests/cover/test_execution.py
@@ -0,0 +1,63 @@
+"""Checks of the execution of one call against small fakes."""
+
+from jayvalve.errors import EndpointFailedError, HistoryUnavailableError, MayHaveRunError
+from jayvalve.internal.entry.call_stream import CallStream
+from jayvalve.internal.entry.execution import CallExecution
+from jayvalve.internal.entry.journal import EphemeralJournal
+from jayvalve.internal.entry.key_claims import ClaimGrant
+from jayvalve.internal.entry.request import CallRequest
+from jayvalve.internal.programs import Amount, Term
+from jayvalve.internal.timing import Clock, Deadline
+from jayvalve.internal.wire.messages import Chunk, ResponseHead
+from jayvalve.verdict import Verdict
+from tests.support import AsyncTestCase
+
+BODY = b'{"model": "m", "messages": [{"role": "user", "content": "x"}], "stream": true}'
+
+
+class LostJournal(EphemeralJournal):
+    """A journal whose quorum is gone."""
+
+    async def end_turn(self, attempt_id, used, answer, digest, messages):
+        raise HistoryUnavailableError("no quorum")
+
+
+class ExecutionTest(AsyncTestCase):
+    """Guards what a caller is told when the end of a call goes wrong."""
+
+    def build(self, journal):
+        call = CallRequest.from_parts("POST", "/v1/chat/completions", {}, BODY, "club")
+        deadline = Deadline.after(Clock(), 5.0)
+        return CallExecution(None, call, 1, journal, Term(0), CallStream(), deadline)
+
+    async def consume(self, execution, *parts):
+        async def answer():
+            for part in parts:
+                yield part
+
+        return await execution._consume(None, "1-1", answer(), Amount(10, 1), None)
+
+    def test_a_stream_cut_inside_an_event_is_not_passed_off_as_whole(self):
+        execution = self.build(EphemeralJournal())
+        parts = ResponseHead(200, {}), Chunk(0, b'data: {"choices": []}\n\ndata: {"cho')
+        error = self.assertRaises(
+            EndpointFailedError, lambda: self.run_async(self.consume(execution, *parts))
+        )
+        self.assertEqual(Verdict.MAY_HAVE_RUN, error.verdict)
+
+    def test_a_turn_without_quorum_is_not_reported_as_not_run(self):
+        """Guards P6: the call ran, only its record is missing."""
+        execution = self.build(LostJournal())
+        parts = ResponseHead(200, {}), Chunk(0, b"data: [DONE]\n\n")
+        error = self.assertRaises(
+            MayHaveRunError, lambda: self.run_async(self.consume(execution, *parts))
+        )
+        self.assertEqual(Verdict.MAY_HAVE_RUN, error.verdict)
+
+    def test_a_known_outcome_without_quorum_is_not_reported_as_not_run(self):
+        execution = self.build(LostJournal())
+        grant = ClaimGrant(None, 3, (201, {}, b"{}"))
+        error = self.assertRaises(
+            MayHaveRunError, lambda: self.run_async(execution._finish_known("1-1", grant))
+        )
+        self.assertEqual(Verdict.MAY_HAVE_RUN, error.verdict)
