Take load messages when an engine is chosen, and keep the sums of loads

A profile of a gateway there showed no single large part: a quarter of the wake-ups came from load messages of the other 30 gateways, and a tenth of the time went into adding up their loads for each engine of each choice.

Change: loads have a socket of their own, which is read before each choice and each 0.1 s instead of waking the process for each message. The sums over the gateways are kept up to date; reports without failures are not kept.

--- a/src/jayvalve/internal/gateway/health.py
+++ b/src/jayvalve/internal/gateway/health.py
@@ -108,7 +108,11 @@
         self, sender: str, data_centre: str, counts: Mapping[str, tuple[float, float]]
     ) -> None:
         """Take another gateway's report; it replaces that gateway's earlier one."""
-        self._reports[sender] = PeerReport(self._clock.now(), data_centre, counts)
+        if counts:
+            self._reports[sender] = PeerReport(self._clock.now(), data_centre, counts)
+        else:
+            # Most gateways see no failure; each choice of an engine looks through the reports.
+            self._reports.pop(sender, None)
 
     def report(self) -> dict[str, tuple[float, float]]:
         """Return failures and successes of the engines that failed here lately."""
--- a/src/jayvalve/internal/gateway/peers.py
+++ b/src/jayvalve/internal/gateway/peers.py
@@ -7,48 +7,53 @@
 import asyncio
 import contextlib
 import math
+import socket
 from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
 import msgpack
+from loguru import logger
 
 from jayvalve.internal.gateway.health import HealthBook
+from jayvalve.internal.gateway.loads import PeerLoads, PeerSettings
 from jayvalve.internal.timing import Clock
 
-__all__ = ["PeerLoads", "PeerSettings", "PeerSocket"]
+__all__ = ["CallSocket", "LoadExchange"]
+
+_log = logger.bind(part="peers")
 
 Address = tuple[str, int]
 
-# Kinds of messages.
-_LOADS = 0
-_CALL = 1
+# Longest datagram of UDP over IPv4, in bytes.
+_MAX_DATAGRAM = 65_507
 
 
-@attrs.frozen
-class PeerSettings:
-    """Pace of the exchange.
-
-    Attributes:
-        min_interval_s: Least time between two rounds of messages; a turn lasts some 0.25 s.
-        fan_out: Gateways told in a round, those first that were told longest ago, so that
-            messages do not grow with the square of the gateways. Loads that others know are
-            0.06 s older for every 32 gateways; a burst is served worse by loads of 0.12 s ago
-            already (docs/policy.md).
-        keepalive_s: A message is sent after so long even without a change.
-        idle_s: Likewise by a gateway without requests, so that processes that start while the
-            store is away learn of the others.
-        known_s: A gateway is asked for help if it was heard of within this time.
-        stale_s: Loads older than that are ignored; their sender has stopped or is cut off.
+class CallSocket(asyncio.DatagramProtocol):
+    """Sends and receives the messages of calls between gateways.
+
+    Args:
+        on_call: Takes a message and the address of its sender.
 
     """
 
-    min_interval_s: float = 0.06
-    fan_out: int = 32
-    keepalive_s: float = 0.5
-    idle_s: float = 1.0
-    known_s: float = 3.0
-    stale_s: float = 1.2
+    def __init__(self, on_call: Callable[[Address, list[Any]], None]) -> None:
+        self._on_call = on_call
+        self._transport: Any = None
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Take a message of another gateway; anything else is dropped."""
+        with contextlib.suppress(ValueError, TypeError, msgpack.UnpackException):
+            self._on_call(tuple(addr), msgpack.unpackb(data))
+
+    def send(self, address: Address, message: list[Any]) -> None:
+        """Send a message; it may be lost."""
+        with contextlib.suppress(OSError):
+            self._transport.sendto(msgpack.packb(message), address)
 
 
 @attrs.frozen
@@ -59,67 +64,25 @@
     version: int
 
 
-@attrs.define
-class _PeerLoad:
-    received_s: float
-    sequence: int
-    running: dict[str, tuple[int, int]]
-    address: Address
-
+class LoadExchange:
+    """Tells the other gateways this one's loads and takes theirs.
 
-class PeerLoads:
-    """Requests of the other gateways at each engine."""
-
-    def __init__(self, clock: Clock, settings: PeerSettings) -> None:
-        self._clock = clock
-        self._settings = settings
-        self._peers: dict[str, _PeerLoad] = {}
-
-    @property
-    def live(self) -> int:
-        """Number of gateways heard of lately."""
-        limit_s = self._clock.now() - self._settings.stale_s
-        return sum(peer.received_s >= limit_s for peer in self._peers.values())
-
-    def live_addresses(self) -> set[Address]:
-        """Return the addresses of the gateways heard of lately."""
-        limit_s = self._clock.now() - self._settings.known_s
-        return {peer.address for peer in self._peers.values() if peer.received_s >= limit_s}
-
-    def running(self, engine_id: str) -> tuple[int, int]:
-        """Return the requests of other gateways at an engine, and their tokens."""
-        limit_s = self._clock.now() - self._settings.stale_s
-        requests = tokens = 0
-        for peer in self._peers.values():
-            if peer.received_s >= limit_s and engine_id in peer.running:
-                count, size = peer.running[engine_id]
-                requests += count
-                tokens += size
-        return requests, tokens
-
-    def receive(
-        self, sender: str, sequence: int, running: dict[str, tuple[int, int]], address: Address
-    ) -> None:
-        """Take a message; older ones that arrive late are ignored."""
-        known = self._peers.get(sender)
-        if known is not None and sequence <= known.sequence:
-            return
-        self._peers[sender] = _PeerLoad(self._clock.now(), sequence, running, address)
-
-
-class PeerSocket(asyncio.DatagramProtocol):
-    """Sends this gateway's loads to the others and receives theirs.
+    Other gateways' messages wait in the socket until an engine is chosen or ``poll_s`` has
+    passed. A fleet of 30 busy gateways sends each of them some 500 messages a second, and waking
+    up for each one costs more than the messages themselves.
 
     Args:
         name: Name of this process; it differs after a restart.
         loads: Where received loads go.
         running: Returns this gateway's requests and their tokens by engine.
         health: Takes and gives reports of engines that fail.
-        addresses: Returns the other gateways' addresses.
-        on_call: Takes messages of calls between gateways.
+        addresses: Returns the other gateways' addresses for calls.
 
     """
 
+    # The port of load messages follows that of calls.
+    PORT_OFFSET = 1
+
     def __init__(
         self,
         name: str,
@@ -130,7 +93,6 @@
         health: HealthBook,
         data_centre: str,
         addresses: Callable[[], Iterable[Address]],
-        on_call: Callable[[Address, list[Any]], None] = lambda address, message: None,
     ) -> None:
         self._name = name
         self._loads = loads
@@ -140,33 +102,54 @@
         self._health = health
         self._data_centre = data_centre
         self._addresses = addresses
-        self._on_call = on_call
         self._sequence = 0
         self._sent: dict[str, tuple[int, int]] = {}
         self._version = 0
         self._told: dict[Address, _Told] = {}
-        self._transport: Any = None
+        self._socket: Any = None
         self._changed = asyncio.Event()
 
-    def connection_made(self, transport: Any) -> None:
-        """Keep the transport."""
-        self._transport = transport
-
-    def datagram_received(self, data: bytes, addr: Any) -> None:
-        """Take a message of another gateway; anything else is dropped."""
-        with contextlib.suppress(ValueError, TypeError, msgpack.UnpackException):
-            kind, *fields = msgpack.unpackb(data)
-            if kind == _CALL:
-                self._on_call(tuple(addr), fields)
-            elif kind == _LOADS:
-                self._receive_loads(tuple(addr), *fields)
-
-    def send(self, address: Address, message: list[Any]) -> None:
-        """Send a message of a call between gateways; it may be lost."""
-        with contextlib.suppress(OSError):
-            self._transport.sendto(msgpack.packb([_CALL, *message]), address)
-
-    def _receive_loads(
+    def open(self, address: Address) -> None:
+        """Bind the socket beside the one for calls at an address.
+
+        Raises:
+            OSError: the port is taken.
+
+        """
+        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            udp.setblocking(False)
+            udp.bind((address[0], address[1] + self.PORT_OFFSET))
+        except OSError:
+            udp.close()
+            raise
+        self.use_socket(udp)
+
+    def use_socket(self, udp: Any) -> None:
+        """Send and receive through a bound socket that does not block."""
+        self._socket = udp
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    def receive(self) -> None:
+        """Take the messages that wait in the socket."""
+        while self._socket is not None:
+            try:
+                data, address = self._socket.recvfrom(_MAX_DATAGRAM)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                # The kernel tells of a message that reached no one, for instance.
+                _log.bind(error=repr(error)).debug("load message could not be received")
+                continue
+            with contextlib.suppress(ValueError, TypeError, msgpack.UnpackException):
+                self._take(address, *msgpack.unpackb(data))
+
+    def _take(
         self,
         address: Address,
         sender: str,
@@ -177,7 +160,8 @@
     ) -> None:
         valid = type(sequence) is int and isinstance(running, dict) and isinstance(counts, dict)
         if valid and sender != self._name:
-            self._loads.receive(str(sender), sequence, running, address)
+            caller = (address[0], address[1] - self.PORT_OFFSET)
+            self._loads.receive(str(sender), sequence, running, caller)
             self._health.receive(str(sender), str(data_centre), counts)
 
     def note_change(self) -> None:
@@ -185,15 +169,22 @@
         self._changed.set()
 
     async def run(self) -> None:
-        """Send until cancelled."""
+        """Send and receive until cancelled."""
         while True:
             wait_s = self._tell_round()
-            if wait_s > 0:
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(wait_s):
-                        await self._changed.wait()
+            await self._wait_for_change(wait_s)
             self._changed.clear()
             await asyncio.sleep(self._settings.min_interval_s)
+            self.receive()
+
+    async def _wait_for_change(self, seconds: float) -> None:
+        """Receive messages meanwhile."""
+        end_s = self._clock.now() + seconds
+        while (remaining_s := end_s - self._clock.now()) > 0 and not self._changed.is_set():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(min(remaining_s, self._settings.poll_s)):
+                    await self._changed.wait()
+            self.receive()
 
     def _tell_round(self) -> float:
         """Tell the next gateways; return the seconds until others are to be told."""
@@ -217,12 +208,11 @@
         chosen = due[: settings.fan_out]
         if chosen:
             self._sequence += 1
-            message = [self._name, self._data_centre, self._sequence, running, counts]
-            data = msgpack.packb([_LOADS, *message])
+            data = msgpack.packb([self._name, self._data_centre, self._sequence, running, counts])
             for address in chosen:
                 told[address] = _Told(now, self._version)
                 with contextlib.suppress(OSError):
-                    self._transport.sendto(data, address)
+                    self._socket.sendto(data, (address[0], address[1] + self.PORT_OFFSET))
         # Gateways that have left are forgotten.
         self._told = told
         if len(due) > len(chosen):
--- a/src/jayvalve/internal/gateway/placement.py
+++ b/src/jayvalve/internal/gateway/placement.py
@@ -108,12 +108,17 @@
     wait_s: float
 
 
-def estimate_wait_s(candidate: Candidate, settings: PlacementSettings) -> float:
-    """Return the expected time in an engine's queue, in seconds."""
+def estimate_wait_s(candidate: Candidate, service_s: float) -> float:
+    """Return the expected time in an engine's queue, in seconds.
+
+    Args:
+        candidate: The engine.
+        service_s: Expected service time there.
+
+    """
     ahead = candidate.load + 1 - candidate.slots
     if ahead <= 0:
         return 0.0
-    service_s = candidate.service_s or settings.default_service_s
     return ahead / candidate.slots * service_s
 
 
@@ -135,7 +140,7 @@
     best: Placement | None = None
     for entry in usable:
         service_s = _service_s(entry, typical_s, settings)
-        wait_s = estimate_wait_s(attrs.evolve(entry, service_s=service_s), settings)
+        wait_s = estimate_wait_s(entry, service_s)
         cost_s = wait_s + service_s * (1 + settings.batch_slowdown * entry.load / entry.slots)
         missing = max(0, need.prompt_tokens - entry.cached_tokens)
         cost_s += missing / settings.prefill_tokens_per_s
--- a/src/jayvalve/internal/gateway/sender.py
+++ b/src/jayvalve/internal/gateway/sender.py
@@ -25,7 +25,7 @@
     NotSentError,
     ResponseHead,
 )
-from jayvalve.internal.gateway.peers import PeerLoads
+from jayvalve.internal.gateway.loads import PeerLoads
 from jayvalve.internal.gateway.placement import (
     Candidate,
     Placement,
@@ -77,7 +77,13 @@
 
 
 class EngineSender:
-    """Places calls on engines and sends them."""
+    """Places calls on engines and sends them.
+
+    Args:
+        on_load_change: Called when this gateway's requests at an engine change.
+        refresh_loads: Called before an engine is chosen, to take what other gateways told.
+
+    """
 
     def __init__(
         self,
@@ -90,6 +96,7 @@
         rng: random.Random,
         data_centre: str,
         on_load_change: Callable[[], None],
+        refresh_loads: Callable[[], None] = lambda: None,
     ) -> None:
         self._directory = directory
         self._loads = loads
@@ -100,6 +107,7 @@
         self._rng = rng
         self._data_centre = data_centre
         self._on_load_change = on_load_change
+        self._refresh_loads = refresh_loads
         self._settings = SenderSettings()
         self._placement = PlacementSettings()
         self._prefixes = PrefixMemory()
@@ -157,6 +165,7 @@
         self._health.record(answer.view.key.id, failed=True)
 
     def _place(self, call: Call, trail: Trail) -> tuple[EngineView, Placement]:
+        self._refresh_loads()
         now = self._clock.now()
         views = {
             view.key: view
--- a/src/jayvalve/platform/process.py
+++ b/src/jayvalve/platform/process.py
@@ -20,10 +20,11 @@
 from jayvalve.internal.gateway.http_client import HttpPool, PoolSettings
 from jayvalve.internal.gateway.leases import HOLDER_LEASES
 from jayvalve.internal.gateway.ledger import BudgetLedger, LedgerSettings
+from jayvalve.internal.gateway.loads import PeerLoads, PeerSettings
 from jayvalve.internal.gateway.model import CallerLimits
 from jayvalve.internal.gateway.partitions import PartitionMap
 from jayvalve.internal.gateway.peer_calls import CallSettings, PeerCalls
-from jayvalve.internal.gateway.peers import PeerLoads, PeerSettings, PeerSocket
+from jayvalve.internal.gateway.peers import CallSocket, LoadExchange
 from jayvalve.internal.gateway.sender import EngineSender
 from jayvalve.internal.gateway.service import GatewayService
 from jayvalve.internal.gateway.status import StatusServer
@@ -127,16 +128,18 @@
         self._stack.callback(self._store_pool.close)
         self._stack.callback(self._engine_pool.close)
         transport, _ = await loop.create_datagram_endpoint(
-            lambda: self._peer_socket, local_addr=settings.peer
+            lambda: self._call_socket, local_addr=settings.peer
         )
         self._stack.callback(transport.close)
+        self._exchange.open(settings.peer)
+        self._stack.callback(self._exchange.close)
         self._stack.push_async_callback(self._cancel_tasks)
         for follower in (self._configuration, self._engines, self._peers):
             self._spawn(follower.run())
         self._spawn(self._storage.run())
         self._spawn(self._ledger.run())
         self._spawn(self._budgets.run())
-        self._spawn(self._peer_socket.run())
+        self._spawn(self._exchange.run())
         self._spawn(self._announce())
         self._spawn(self._upkeep())
         gc.freeze()
@@ -208,9 +211,10 @@
             clock,
             self._rng,
             settings.data_centre,
-            self._note_load_change,
+            lambda: self._exchange.note_change(),
+            lambda: self._exchange.receive(),
         )
-        self._peer_socket = PeerSocket(
+        self._exchange = LoadExchange(
             self._name,
             self._loads,
             clock,
@@ -219,7 +223,6 @@
             self._health,
             settings.data_centre,
             self._addresses.values,
-            self._calls.receive,
         )
         self._service = GatewayService(
             self._sender,
@@ -245,6 +248,7 @@
             self._storage, partitions, clock, LedgerSettings(leases=HOLDER_LEASES), self._name
         )
         self._calls = PeerCalls(self._send_to_peer, clock, CallSettings(), self._rng)
+        self._call_socket = CallSocket(self._calls.receive)
         self._budgets = TurnBudgets(
             self._ledger,
             self._calls,
@@ -256,7 +260,7 @@
         )
 
     def _send_to_peer(self, address: tuple[str, int], message: list[Any]) -> None:
-        self._peer_socket.send(address, message)
+        self._call_socket.send(address, message)
 
     def _add_followers(self) -> None:
         clock = self._clock
@@ -358,9 +362,6 @@
         self._rng.shuffle(addresses)
         return [StoreClient(address, self._store_pool) for address in addresses]
 
-    def _note_load_change(self) -> None:
-        self._peer_socket.note_change()
-
     def _knowledge(self) -> dict[str, Any]:
         """Return how old the inputs of a decision are, for the log."""
         age_s = self._engines.age_s
--- a/tests/cover/test_gateway_decisions.py
+++ b/tests/cover/test_gateway_decisions.py
@@ -10,8 +10,8 @@
 from jayvalve.internal.gateway.directory import DirectorySettings, EngineDirectory
 from jayvalve.internal.gateway.events import EventSplitter
 from jayvalve.internal.gateway.follower import FollowerSettings, KeyedFollower
+from jayvalve.internal.gateway.loads import PeerLoads, PeerSettings
 from jayvalve.internal.gateway.model import EngineKey, EngineRecord, EngineState
-from jayvalve.internal.gateway.peers import PeerLoads, PeerSettings
 from jayvalve.internal.gateway.placement import (
     Candidate,
     PlacementNeed,
@@ -79,9 +79,8 @@
         self.assertEqual(4, len(chosen))
 
     def test_the_wait_grows_with_the_queue(self):
-        settings = PlacementSettings()
-        self.assertEqual(0.0, estimate_wait_s(candidate("a", load=7), settings))
-        self.assertAlmostEqual(0.2, estimate_wait_s(candidate("a", load=15), settings))
+        self.assertEqual(0.0, estimate_wait_s(candidate("a", load=7), 0.2))
+        self.assertAlmostEqual(0.2, estimate_wait_s(candidate("a", load=15), 0.2))
 
     def test_only_leading_parts_count_as_cached(self):
         memory = PrefixMemory()
--- a/tests/cover/test_gateway_peers.py
+++ b/tests/cover/test_gateway_peers.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import collections
+import math
 
 import msgpack
+from hypothesis import given
+from hypothesis import strategies as st
 from testtools import TestCase
 
 from jayvalve.internal.gateway.health import HealthBook, HealthSettings
-from jayvalve.internal.gateway.peers import PeerLoads, PeerSettings, PeerSocket
+from jayvalve.internal.gateway.loads import PeerLoads, PeerSettings
+from jayvalve.internal.gateway.peers import LoadExchange
+from jayvalve.internal.timing import ManualClock
 from tests.fakes_network import LoopClock
 from tests.gateway_fleet import run_virtual
 
@@ -15,18 +20,24 @@
 
 
 class Recorder:
-    """A transport that notes what is sent when."""
+    """A socket that notes what is sent when, and receives what a test puts into it."""
 
     def __init__(self, clock):
         self.clock = clock
         self.sent = collections.defaultdict(list)
+        self.waiting = []
+
+    def recvfrom(self, size):
+        if not self.waiting:
+            raise BlockingIOError
+        return self.waiting.pop(0)
 
     def sendto(self, data, address):
-        running = msgpack.unpackb(data)[4]
+        running = msgpack.unpackb(data)[3]
         self.sent[address].append((self.clock.now(), running.get("e", (0, 0))[0]))
 
 
-class PeerSocketTests(TestCase):
+class LoadExchangeTests(TestCase):
     def play(self, gateways, change_s):
         """Return what each of the other gateways is told while the load changes."""
 
@@ -34,7 +45,7 @@
             clock = LoopClock(loop)
             load = [1]
             addresses = [("gw", number) for number in range(gateways - 1)]
-            socket = PeerSocket(
+            exchange = LoadExchange(
                 "own",
                 PeerLoads(clock, PeerSettings()),
                 clock,
@@ -45,14 +56,14 @@
                 lambda: addresses,
             )
             recorder = Recorder(clock)
-            socket.connection_made(recorder)
-            task = asyncio.ensure_future(socket.run())
+            exchange.use_socket(recorder)
+            task = asyncio.ensure_future(exchange.run())
             if not change_s:
                 load[0] = 0
                 await asyncio.sleep(SECONDS)
             for _ in range(int(SECONDS / change_s) if change_s else 0):
                 load[0] += 1
-                socket.note_change()
+                exchange.note_change()
                 await asyncio.sleep(change_s)
             task.cancel()
             return recorder.sent
@@ -89,3 +100,94 @@
         for times in self.play(31, change_s=0).values():
             gaps = [later[0] - earlier[0] for earlier, later in zip(times, times[1:], strict=False)]
             self.assertLess(max(gaps), PeerSettings().stale_s)
+
+    def test_a_message_is_taken_before_an_engine_is_chosen(self):
+        """Guards against choices by loads that wait unread in the socket."""
+
+        async def work(loop):
+            clock = LoopClock(loop)
+            loads = PeerLoads(clock, PeerSettings())
+            health = HealthBook(clock, HealthSettings(), "dc")
+            exchange = LoadExchange(
+                "own", loads, clock, PeerSettings(), dict, health, "dc", lambda: []
+            )
+            recorder = Recorder(clock)
+            exchange.use_socket(recorder)
+            message = ["other", "dc", 1, {"e": (3, 300)}, {}]
+            recorder.waiting = [
+                (b"\xc1 no message", ("10.0.0.3", 7381)),
+                (msgpack.packb(["other", "dc", "x", {}, {}]), ("10.0.0.3", 7381)),
+                (msgpack.packb(message), ("10.0.0.2", 7381)),
+            ]
+            before = loads.running("e")
+            exchange.receive()
+            return before, loads.running("e"), loads.live_addresses()
+
+        before, after, addresses = run_virtual(work)
+        self.assertEqual(((0, 0), (3, 300)), (before, after))
+        # Calls go to the port before that of the load messages.
+        self.assertEqual({("10.0.0.2", 7380)}, addresses)
+
+    def test_messages_are_taken_without_requests(self):
+        """Guards against an idle gateway whose socket overflows and that takes others for dead."""
+
+        async def work(loop):
+            clock = LoopClock(loop)
+            loads = PeerLoads(clock, PeerSettings())
+            health = HealthBook(clock, HealthSettings(), "dc")
+            exchange = LoadExchange(
+                "own", loads, clock, PeerSettings(), dict, health, "dc", lambda: [("gw", 1)]
+            )
+            recorder = Recorder(clock)
+            exchange.use_socket(recorder)
+            task = asyncio.ensure_future(exchange.run())
+            longest = 0
+            for sequence in range(100):
+                message = msgpack.packb(["other", "dc", sequence, {"e": (1, 10)}, {}])
+                recorder.waiting.append((message, ("10.0.0.2", 7381)))
+                await asyncio.sleep(0.02)
+                longest = max(longest, len(recorder.waiting))
+            task.cancel()
+            return longest, loads.live
+
+        # One message each 0.02 s; they wait for poll_s and a round's pause at most.
+        longest, live = run_virtual(work)
+        self.assertLessEqual(longest, 9)
+        self.assertEqual(1, live)
+
+
+class PeerLoadSumTests(TestCase):
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from("abc"),
+                st.integers(0, 6),
+                st.dictionaries(
+                    st.sampled_from("xyz"), st.tuples(st.integers(0, 5), st.integers(0, 900))
+                ),
+                st.floats(0, 2),
+            ),
+            max_size=30,
+        )
+    )
+    def test_sums_equal_those_over_the_fresh_messages(self, messages):
+        """Guards against sums that drift from the messages, by late or stale ones."""
+        clock = ManualClock(10.0)
+        settings = PeerSettings()
+        loads = PeerLoads(clock, settings)
+        newest = {}
+        for sender, sequence, running, pause_s in messages:
+            age_s = clock.now() - newest[sender][1] if sender in newest else math.inf
+            forgotten = age_s > settings.known_s
+            if forgotten or sequence > newest[sender][0]:
+                newest[sender] = (sequence, clock.now(), running)
+            loads.receive(sender, sequence, running, ("10.0.0.1", 1))
+            clock.advance(pause_s)
+            for engine in "xyz":
+                fresh = [
+                    told.get(engine, (0, 0))
+                    for _, at_s, told in newest.values()
+                    if clock.now() - at_s <= settings.stale_s
+                ]
+                expected = (sum(count for count, _ in fresh), sum(size for _, size in fresh))
+                self.assertEqual(expected, loads.running(engine))
--- a/tests/ports.py
+++ b/tests/ports.py
@@ -7,7 +7,7 @@
 import tempfile
 from typing import IO
 
-__all__ = ["BLOCK_SIZE", "HOST", "free_port"]
+__all__ = ["BLOCK_SIZE", "HOST", "free_port", "free_port_pair"]
 
 HOST = "127.0.0.1"
 # The kernel gives ports from 32768 on to whoever binds port 0 or connects, so that a port of
@@ -58,3 +58,19 @@
                 continue
         return port
     raise OSError("no test port is free")
+
+
+def free_port_pair() -> int:
+    """Return the first of two consecutive ports that are both free.
+
+    Raises:
+        OSError: no two such ports are free.
+
+    """
+    first = free_port()
+    for _ in range(BLOCK_SIZE):
+        second = free_port()
+        if second == first + 1:
+            return first
+        first = second
+    raise OSError("no pair of test ports is free")
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -14,7 +14,7 @@
 from jayvalve.standins.platform_engine import PlatformEngine, PlatformEngineSettings
 from jayvalve.standins.platform_store import PlatformStore, PlatformStoreSettings
 from tests.platform_support import configuration, request
-from tests.ports import HOST, free_port
+from tests.ports import HOST, free_port, free_port_pair
 from tests.soak.proxy import Proxy
 
 __all__ = ["Fleet", "GatewayNode"]
@@ -220,7 +220,7 @@
                 "frontend": f"{HOST}:{port}",
                 "ready": f"{HOST}:{readiness_port}",
             },
-            "internal_ports": [free_port(), 0],
+            "internal_ports": [free_port_pair(), 0],
             "limits": {"memory_mb": 170},
             "bounds": {"drain_ms": 2000, "grace_s": GRACE_S},
             "platform": {
