Let one call at a time ask a partition of the store that refuses calls

Change: a gate for each partition (partition_gate). When it refused a call on all paths, one call asks at growing intervals and the others wait; while the store answers other calls, one peer is asked at most. Settlements of a partition are sent by one append at a time.

Ruled out: reads of long partitions after restarts (3,400 calls in all).

--- a/src/jayvalve/internal/gateway/accounts.py
+++ b/src/jayvalve/internal/gateway/accounts.py
@@ -121,6 +121,7 @@
     accounts: dict[str, Account] = attrs.field(factory=dict)
     unsent: list[bytes] = attrs.field(factory=list)
     timer: asyncio.TimerHandle | None = None
+    flushing: bool = False
     reading: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
 
@@ -185,11 +186,13 @@
 
     async def flush(self, timeout_s: float) -> None:
         """Send all settlements, before a planned stop."""
-        for partition, state in list(self._states.items()):
-            if state.unsent:
+        end = Deadline.after(self._clock, timeout_s)
+        while not end.expired:
+            for partition, state in list(self._states.items()):
                 self._start_flush(partition, state)
-        if self._flushes:
-            await asyncio.wait(self._flushes, timeout=timeout_s)
+            if not self._flushes:
+                return
+            await asyncio.wait(self._flushes, timeout=end.remaining_s)
 
     def expire(self) -> None:
         """Forget accounts that no program uses any more."""
@@ -203,7 +206,9 @@
         if state.timer is not None:
             state.timer.cancel()
             state.timer = None
-        if state.unsent:
+        if state.unsent and not state.flushing:
+            # While a partition is away, one append at a time tries it; the next takes the rest.
+            state.flushing = True
             task = asyncio.ensure_future(self._flush(partition, state))
             self._flushes.add(task)
             task.add_done_callback(self._flushes.discard)
@@ -211,16 +216,19 @@
     async def _flush(self, partition: Partition, state: _PartitionState) -> None:
         records, state.unsent = state.unsent, []
         deadline = Deadline.after(self._clock, _FLUSH_TIMEOUT_S)
+        delay_s = self._settings.settle_delay_s
         try:
             offset = await self._storage.append(partition.topic, partition.index, records, deadline)
+            if offset == state.next:
+                self._fold(state, records)
         except UnavailableError:
             state.unsent = records + state.unsent
-            if state.timer is None:
-                loop = asyncio.get_running_loop()
-                state.timer = loop.call_later(_FLUSH_RETRY_S, self._start_flush, partition, state)
-            return
-        if offset == state.next:
-            self._fold(state, records)
+            delay_s = _FLUSH_RETRY_S
+        finally:
+            state.flushing = False
+        if state.unsent and state.timer is None:
+            loop = asyncio.get_running_loop()
+            state.timer = loop.call_later(delay_s, self._start_flush, partition, state)
 
     async def _catch_up(
         self,
--- a/src/jayvalve/internal/gateway/storage.py
+++ b/src/jayvalve/internal/gateway/storage.py
@@ -14,8 +14,9 @@
 from loguru import logger
 
 from jayvalve.errors import LogAnswerLostError, LogUnavailableError, UnavailableError
+from jayvalve.internal.gateway.partition_gate import GateSettings, PartitionGate
 from jayvalve.internal.gateway.store_paths import Page, StoreAccess, StorePath, StorePaths
-from jayvalve.internal.timing import Clock, Deadline, full_jitter
+from jayvalve.internal.timing import Clock, Deadline
 
 __all__ = ["RoundTripEstimate", "Storage", "StorageSettings"]
 
@@ -33,8 +34,9 @@
         max_timeout_s: Most time after which an unanswered call is repeated.
         max_relays: Peers that a call is sent through. When so many do not reach the store either,
             others will hardly, and a fleet would flood itself with relayed calls.
+        max_partition_relays: Likewise while the store answers other calls of this process: then
+            its partition is more likely to be away than the path to the store.
         max_parallel: Repetitions of one call that may be under way.
-        backoff_s: First delay after a refusal; it doubles.
         silence_s: A path counts as failing when a call has waited there for so long and none
             was answered meanwhile. Slow days answer within some 0.3 s.
         patience_s: Most time that a call takes, the wait for a store that is away included. It
@@ -52,8 +54,8 @@
     min_timeout_s: float = 0.06
     max_timeout_s: float = 1.0
     max_relays: int = 3
+    max_partition_relays: int = 1
     max_parallel: int = 3
-    backoff_s: float = 0.03
     silence_s: float = 0.6
     patience_s: float = 1.0
     patience_share: float = 0.33
@@ -61,6 +63,7 @@
     probe_timeout_s: float = 1.5
     min_retry_after_s: float = 0.3
     max_retry_after_s: float = 1.0
+    gate: GateSettings = GateSettings()
 
 
 @attrs.define
@@ -93,6 +96,7 @@
     """The attempts of one call that are under way, each with its path and start."""
 
     started_s: float
+    gate: PartitionGate
     pending: dict["asyncio.Task[T]", tuple[StorePath[StoreAccess], float]] = attrs.field(
         factory=dict
     )
@@ -122,6 +126,7 @@
         self._returned = asyncio.Event()
         self._returned.set()
         self._on_return: list[Callable[[], None]] = []
+        self._gates: dict[tuple[str, int], PartitionGate] = {}
 
     @property
     def available(self) -> bool:
@@ -170,6 +175,7 @@
         return await self._repeat(
             lambda client, timeout_s: client.append(topic, partition, records, timeout_s),
             self._bounded(deadline, patience_s),
+            self._gate(topic, partition),
         )
 
     async def read(
@@ -197,6 +203,7 @@
             return await self._repeat(
                 lambda client, timeout_s: client.read(topic, partition, start, timeout_s),
                 self._bounded(deadline, patience_s),
+                self._gate(topic, partition),
             )
         except LogAnswerLostError as error:
             raise LogUnavailableError(error.message, retry_after_s=error.retry_after_s) from error
@@ -230,19 +237,32 @@
             patience_s = min(self._settings.patience_s, share_s)
         return Deadline.after(self._clock, min(patience_s, deadline.remaining_s))
 
+    def _gate(self, topic: str, partition: int) -> PartitionGate:
+        gate = self._gates.get((topic, partition))
+        if gate is None:
+            gate = self._gates[topic, partition] = PartitionGate(self._settings.gate, self._rng)
+        return gate
+
     async def _repeat(
-        self, call: Callable[[StoreAccess, float], Awaitable[T]], deadline: Deadline
+        self,
+        call: Callable[[StoreAccess, float], Awaitable[T]],
+        deadline: Deadline,
+        gate: PartitionGate,
     ) -> T:
-        race: _Race[T] = _Race(self._clock.now())
+        race: _Race[T] = _Race(self._clock.now(), gate)
         try:
             while True:
                 await self._wait_for_return(deadline.remaining_s)
-                if not self.available or deadline.expired:
+                await gate.wait(race, deadline)
+                if deadline.expired:
                     raise self._failure(race)
+                if not self.available:
+                    continue
                 result = await self._race(call, deadline, race)
                 if result is not None:
                     return result
         finally:
+            gate.leave(race)
             for task in race.pending:
                 task.cancel()
 
@@ -264,16 +284,22 @@
         deadline: Deadline,
         race: _Race[T],
     ) -> T | None:
-        """Make attempts until one succeeds; return None when the store is away."""
+        """Make attempts until one succeeds; return None when the call must wait.
+
+        It waits for the store's return, or for the call that asks at the partition's gate.
+        """
         while self.available and not deadline.expired:
             self._start_attempt(call, deadline, race)
             timeout_s = min(
                 self._estimate.timeout_s(max(0, race.attempts - 1)), deadline.remaining_s
             )
             if not race.pending:
-                delay_s = full_jitter(self._rng, race.attempts, self._settings.backoff_s, 0.2)
-                await asyncio.sleep(min(delay_s, deadline.remaining_s))
+                if not self.available:
+                    return None
+                asks = await race.gate.refused(race, deadline)
                 race.refused.clear()
+                if not asks:
+                    return None
                 continue
             done, _ = await asyncio.wait(
                 race.pending, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
@@ -297,7 +323,7 @@
         busy = {path for path, _ in race.pending.values()}
         relays = {entry for entry in busy | race.refused if entry is not self._paths.direct}
         path = None
-        if len(relays) < self._settings.max_relays:
+        if len(relays) < self._max_relays():
             path = self._paths.pick(busy | race.refused)
         if path is None and not race.refused:
             # A lost answer is repeated on the same path, on another connection.
@@ -311,6 +337,11 @@
         task = asyncio.ensure_future(call(path.client, max(0.05, deadline.remaining_s)))
         race.pending[task] = (path, self._clock.now())
 
+    def _max_relays(self) -> int:
+        if self._paths.direct_answered_lately:
+            return self._settings.max_partition_relays
+        return self._settings.max_relays
+
     def _collect(self, race: _Race[T], done: set["asyncio.Task[T]"]) -> T | None:
         for task in done:
             path, started_s = race.pending.pop(task)
@@ -319,8 +350,10 @@
                 self._estimate.observe(self._clock.now() - started_s)
                 self._note_answer(path)
                 self._note_silence(race)
+                race.gate.answered()
                 return task.result()
             if not isinstance(error, UnavailableError):
+                race.gate.answered()
                 raise error
             if isinstance(error, LogUnavailableError):
                 race.refusals += 1
@@ -344,6 +377,8 @@
             _log.bind(away_s=round(away_s, 3), path=path.name).info("the store answers again")
             self._away_since_s = None
             self._returned.set()
+            for gate in self._gates.values():
+                gate.answered()
             for callback in self._on_return:
                 callback()
 
--- a/src/jayvalve/internal/gateway/store_paths.py
+++ b/src/jayvalve/internal/gateway/store_paths.py
@@ -114,6 +114,11 @@
         """Whether calls go to the store itself."""
         return self._direct.failing_since_s is None
 
+    @property
+    def direct_answered_lately(self) -> bool:
+        """Whether the store itself answered a call of this process within no_success_s."""
+        return self._clock.now() - self._direct.succeeded_s < self._settings.no_success_s
+
     def pick(self, excluded: Collection[StorePath[C]] = ()) -> StorePath[C] | None:
         """Return the way for a call, or None if all are excluded or out of use."""
         if self.direct_usable and self._direct not in excluded:
--- a/tests/cover/test_gateway_storage.py
+++ b/tests/cover/test_gateway_storage.py
@@ -159,6 +159,64 @@
 
         self.run_async(run())
 
+    def test_calls_of_a_partition_that_is_away_do_not_all_repeat(self):
+        """Guards against 30 calls a second from each waiting call, also through peers.
+
+        One trial of a fleet of 31 made 4,000 calls a second while a quarter of the partitions
+        was away for 4.4 s.
+        """
+
+        class PartlyDown(FakeStore):
+            async def append(self, topic, partition, records, timeout_s):
+                if partition == 1:
+                    self.calls += 1
+                    if self.mode == "refuse":
+                        raise LogUnavailableError("refused")
+                return 1
+
+        async def run():
+            stores = [PartlyDown("refuse") for _ in range(4)]
+            storage = self.storage(stores[0], stores[1:])
+            deadline = Deadline.after(Clock(), 4.0)
+            waiting = [
+                asyncio.ensure_future(storage.append("topic", 1, [b"x"], deadline, patience_s=2.0))
+                for _ in range(20)
+            ]
+            for _ in range(50):
+                await storage.append("topic", 0, [b"x"], deadline)
+                await asyncio.sleep(0.02)
+            calls = sum(store.calls for store in stores)
+            # One call asks each 0.1 s or so, here and through a peer; the first ones came at once.
+            self.assertLess(calls, 100)
+            for store in stores:
+                store.mode = "ok"
+            returned_s = Clock().now()
+            await asyncio.gather(*waiting)
+            self.assertLess(Clock().now() - returned_s, 0.5)
+
+        self.run_async(run())
+
+    def test_another_call_asks_when_the_one_that_did_gives_up(self):
+        """Guards against calls that wait for one that was cancelled."""
+
+        async def run():
+            store = FakeStore("refuse")
+            storage = self.storage(store)
+            storage._paths.record_answer(store)
+            deadline = Deadline.after(Clock(), 4.0)
+            calls = [
+                asyncio.ensure_future(storage.append("topic", 1, [b"x"], deadline, patience_s=2.0))
+                for _ in range(3)
+            ]
+            for call in calls[:2]:
+                await asyncio.sleep(0.1)
+                storage._paths.record_answer(store)
+                call.cancel()
+            store.mode = "ok"
+            self.assertEqual(1, await asyncio.wait_for(calls[2], 0.6))
+
+        self.run_async(run())
+
     def test_an_outage_is_not_answered_with_a_flood_of_relayed_calls(self):
         """Guards against a fleet in which each call goes through every other gateway."""
 
