Log when a partition refuses calls and takes them again

Cause: a refused turn whose partitions are both away had no log line that names them; only the loss of a whole path was told.

Change: a line when the gate of a partition closes, and one with the time it was away when the partition answers again.

--- a/src/jayvalve/internal/gateway/partition_gate.py
+++ b/src/jayvalve/internal/gateway/partition_gate.py
@@ -10,11 +10,14 @@
 import random
 
 import attrs
+from loguru import logger
 
-from jayvalve.internal.timing import Deadline
+from jayvalve.internal.timing import Clock, Deadline
 
 __all__ = ["GateSettings", "PartitionGate"]
 
+_log = logger.bind(part="partition_gate")
+
 
 @attrs.frozen
 class GateSettings:
@@ -32,12 +35,20 @@
 
 
 class PartitionGate:
-    """Lets one call at a time through to a partition that refuses calls."""
+    """Lets one call at a time through to a partition that refuses calls.
+
+    Args:
+        name: Topic and number of the partition, for the log.
+
+    """
 
-    def __init__(self, settings: GateSettings, rng: random.Random) -> None:
+    def __init__(self, name: str, settings: GateSettings, clock: Clock, rng: random.Random) -> None:
+        self._name = name
         self._settings = settings
+        self._clock = clock
         self._rng = rng
         self._rounds = 0
+        self._closed_s = 0.0
         self._holder: object | None = None
         self._changed = asyncio.Event()
 
@@ -62,7 +73,10 @@
 
     def close(self) -> None:
         """Close the gate after a refusal on all paths."""
-        self._rounds = max(1, self._rounds)
+        if not self.closed:
+            self._rounds = 1
+            self._closed_s = self._clock.now()
+            _log.bind(partition=self._name).info("partition refuses calls; one call asks for all")
 
     async def pause(self, call: object, deadline: Deadline) -> bool:
         """Wait until the call may make further attempts.
@@ -87,9 +101,15 @@
     def answered(self) -> None:
         """Open the gate, as the partition took a call."""
         if self.closed:
-            self._rounds = 0
-            self._holder = None
-            self._notify()
+            away_s = round(self._clock.now() - self._closed_s, 3)
+            _log.bind(partition=self._name, away_s=away_s).info("partition takes calls again")
+            self.open()
+
+    def open(self) -> None:
+        """Let all calls through, after the return of the whole store for instance."""
+        self._rounds = 0
+        self._holder = None
+        self._notify()
 
     def leave(self, call: object) -> None:
         """Let another call ask, as this one has ended."""
--- a/src/jayvalve/internal/gateway/storage.py
+++ b/src/jayvalve/internal/gateway/storage.py
@@ -248,7 +248,9 @@
     def _gate(self, topic: str, partition: int) -> PartitionGate:
         gate = self._gates.get((topic, partition))
         if gate is None:
-            gate = self._gates[topic, partition] = PartitionGate(self._settings.gate, self._rng)
+            gate = self._gates[topic, partition] = PartitionGate(
+                f"{topic}/{partition}", self._settings.gate, self._clock, self._rng
+            )
         return gate
 
     async def _repeat(
@@ -392,7 +394,7 @@
             self._away_since_s = None
             self._returned.set()
             for gate in self._gates.values():
-                gate.answered()
+                gate.open()
             for callback in self._on_return:
                 callback()
 
