Play partitions of the store that refuse calls in the soak

The soak had outages of the whole store only. A third series of faults, with draws of its own, lets up to half of the partitions refuse calls by turns; the seeds that failed before still draw the same other faults.

--- a/src/jayvalve/standins/platform_store.py
+++ b/src/jayvalve/standins/platform_store.py
@@ -107,7 +107,14 @@
 
 @STAND_INS.register("platform-store")
 class PlatformStore(StandIn):
-    """The store that all processes share."""
+    """The store that all processes share.
+
+    Attributes:
+        late_s: Appends take effect so long after their calls may have been given up.
+        away_parts: Numbers of the partitions that refuse all calls, in each topic but the keyed
+            ones.
+
+    """
 
     kind = "platform-store"
 
@@ -132,6 +139,7 @@
         self.reads = TokenBucket(self.settings.reads_per_s, self.settings.reads_per_s)
         self.calls = 0
         self.late_s = 0.0
+        self.away_parts: frozenset[int] = frozenset()
 
     @classmethod
     def from_config(cls, config: Mapping[str, object]) -> "PlatformStore":
@@ -176,12 +184,16 @@
             self.refuse(429, "rate_limited", "too many calls")
 
     def target(self) -> StorePartition | None:
-        """Return the partition that the query names, or answer 400."""
+        """Return the partition that the query names, or answer 400, or 503 if it is away."""
+        topic = self.get_query_argument("topic", "")
         try:
             part = int(self.get_query_argument("part", "0"))
         except ValueError:
             part = -1
-        partition = self.standin.partition(self.get_query_argument("topic", ""), part)
+        if part in self.standin.away_parts and not topic.startswith("keyed."):
+            self.refuse(503, "partition_away", "the partition is away")
+            return None
+        partition = self.standin.partition(topic, part)
         if partition is None:
             self.refuse(400, "unknown_partition", "no such partition")
         return partition
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -144,8 +144,33 @@
     await asyncio.gather(*(node.restart(planned=False) for node in fleet.gateways))
 
 
-async def inject(fleet: Fleet, rng: random.Random, seconds: float) -> list[str]:
-    """Inject overlapping series of faults for a time; return their names in order."""
+async def _partitions_away(fleet: Fleet, rng: random.Random, end: float) -> None:
+    """Let shares of the store's partitions refuse calls by turns, until a time of the loop."""
+    loop = asyncio.get_running_loop()
+    parts = range(fleet.store.settings.parts)
+    while True:
+        await asyncio.sleep(rng.uniform(0.5, 3.0))
+        seconds = min(rng.uniform(0.3, 2.0), end - loop.time())
+        if seconds <= 0:
+            return
+        fleet.store.away_parts = frozenset(rng.sample(parts, rng.randint(1, len(parts) // 2)))
+        await asyncio.sleep(seconds)
+        fleet.store.away_parts = frozenset()
+
+
+async def inject(
+    fleet: Fleet, rng: random.Random, seconds: float, partitions_seed: str
+) -> list[str]:
+    """Inject overlapping series of faults for a time; return their names in order.
+
+    Args:
+        fleet: Where to inject them.
+        rng: Draws the faults.
+        seconds: Time of faults.
+        partitions_seed: Draws the outages of partitions, apart from rng, so that seeds that
+            failed before these were added still draw the same faults.
+
+    """
     names: list[str] = []
     end = asyncio.get_running_loop().time() + seconds
 
@@ -156,5 +181,6 @@
             await FAULTS.get(name)(fleet, rng, min(rng.uniform(0.3, 2.0), max(0.1, end - now)))
             await asyncio.sleep(rng.uniform(0.0, 0.5))
 
-    await asyncio.gather(series(), series())
+    outages = _partitions_away(fleet, random.Random(partitions_seed), end)
+    await asyncio.gather(series(), series(), outages)
     return names
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -43,7 +43,7 @@
     rng = random.Random(seed)
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     async with run_callers(folder, rng, gateways, programs) as callers:
-        faults = await inject(callers.fleet, rng, seconds)
+        faults = await inject(callers.fleet, rng, seconds, f"{seed}/partitions")
         recovery_s = await _recover(callers.fleet, callers)
     ledger = callers.ledger
     if ledger.calls < MIN_CALLS:
