Read kept turns where they are stored instead of searching their partition

Cause: a gateway that continues a turn of another gateway read the turn's partition from its first record on.

Change: the gateway that stores a turn sends its location to two homes, chosen by hashing over the live gateways, and records link to the previous turn's location. A search remains as the fallback, in pages of 128 KiB. Calls to the store are not repeated while their records may still be in transit on the machine's link.

--- a/src/jayvalve/internal/gateway/peer_calls.py
+++ b/src/jayvalve/internal/gateway/peer_calls.py
@@ -21,12 +21,15 @@
 
 Address = tuple[str, int]
 Handler = Callable[[list[Any]], Awaitable[list[Any]]]
+NoticeHandler = Callable[[list[Any]], None]
 
 # Types of messages. A pending message is the reply to a retransmitted call that has no answer yet;
 # it keeps the call from failing after silence_timeout_s.
 _REQUEST = 1
 _PENDING = 2
 _REPLY = 3
+# Not answered, and not sent again.
+_NOTICE = 4
 
 
 class PeerTimeoutError(Exception):
@@ -87,6 +90,7 @@
         # by an earlier process with the same address.
         self._next_id = rng.getrandbits(48)
         self._handlers: dict[str, Handler] = {}
+        self._notice_handlers: dict[str, NoticeHandler] = {}
         self._outgoing: dict[int, _OutgoingCall] = {}
         self._incoming: OrderedDict[tuple[Address, int], _IncomingCall] = OrderedDict()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -100,6 +104,19 @@
 
         return register
 
+    def on_notice(self, kind: str) -> Callable[[NoticeHandler], NoticeHandler]:
+        """Register the decorated function as the handler of a kind of notice."""
+
+        def register(handler: NoticeHandler) -> NoticeHandler:
+            self._notice_handlers[kind] = handler
+            return handler
+
+        return register
+
+    def notify(self, address: Address, kind: str, arguments: list[Any]) -> None:
+        """Send a message that is not answered; it may be lost."""
+        self._transmit(address, [_NOTICE, 0, kind, arguments])
+
     async def call(
         self, address: Address, kind: str, arguments: list[Any], timeout_s: float
     ) -> list[Any]:
@@ -140,6 +157,12 @@
             kind, arguments = rest
             self._serve(address, call_id, kind, arguments)
             return
+        if message_type == _NOTICE:
+            kind, arguments = rest
+            notice_handler = self._notice_handlers.get(kind)
+            if notice_handler is not None:
+                notice_handler(arguments)
+            return
         outgoing = self._outgoing.get(call_id)
         if outgoing is None:
             return
--- a/src/jayvalve/internal/gateway/storage.py
+++ b/src/jayvalve/internal/gateway/storage.py
@@ -50,6 +50,8 @@
             at most a third of their time limit on Retry-After delays.
         probe_interval_s: Time between two probes of a failing path, in seconds.
         probe_timeout_s: Timeout of a probe. A slow store still answers within it.
+        link_bytes_per_s: Speed of this machine's link, or None if unknown. A call is not repeated
+            while its records may still be in transit.
         min_retry_after_s: Minimum Retry-After of a refused caller, in seconds.
         max_retry_after_s: Maximum Retry-After of a refused caller. Callers wait for at most a third
             of their time limit.
@@ -67,6 +69,7 @@
     call_timeout_share: float = 0.33
     probe_interval_s: float = 0.25
     probe_timeout_s: float = 1.5
+    link_bytes_per_s: float | None = None
     min_retry_after_s: float = 0.3
     max_retry_after_s: float = 1.0
     gate: GateSettings = GateSettings()
@@ -104,6 +107,7 @@
     Attributes:
         pending: Path and start time of each unfinished attempt.
         attempts: Number of attempts that were started.
+        transfer_s: Time that the records of the call need on this machine's link, in seconds.
         refusals: Number of attempts that certainly had no effect.
         failed_paths: Paths on which an attempt was refused or not answered; they are not used again
             before a pause.
@@ -113,6 +117,7 @@
     started_s: float
     gate: PartitionGate
     wait_until_available: bool
+    transfer_s: float = 0.0
     pending: dict["asyncio.Task[T]", tuple[StorePath[StoreAccess], float]] = attrs.field(
         factory=dict
     )
@@ -201,6 +206,7 @@
             self._call_deadline(deadline, call_timeout_s),
             self._gate(topic, partition),
             wait_until_available,
+            self._transfer_s(sum(map(len, records))),
         )
 
     async def read(
@@ -211,6 +217,7 @@
         deadline: Deadline,
         call_timeout_s: float | None = None,
         wait_until_available: bool = True,
+        max_bytes: int | None = None,
     ) -> Page:
         """Return the records of a partition from an offset on, or the first part of them.
 
@@ -222,6 +229,8 @@
             call_timeout_s: Maximum time of the call; the default follows from the settings.
             wait_until_available: Whether the call waits while the partition or the store refuses
                 it.
+            max_bytes: Maximum size of the records, in bytes; the first one is returned even if it
+                is larger. By default, the limit of the store.
 
         Raises:
             LogUnavailableError: The records could not be read.
@@ -229,10 +238,13 @@
         """
         try:
             return await self._call_until_answered(
-                lambda client, timeout_s: client.read(topic, partition, start, timeout_s),
+                lambda client, timeout_s: client.read(
+                    topic, partition, start, timeout_s, max_bytes=max_bytes
+                ),
                 self._call_deadline(deadline, call_timeout_s),
                 self._gate(topic, partition),
                 wait_until_available,
+                self._transfer_s(max_bytes or 0),
             )
         except LogAnswerLostError as error:
             raise LogUnavailableError(error.message, retry_after_s=error.retry_after_s) from error
@@ -266,6 +278,11 @@
             call_timeout_s = min(self._settings.call_timeout_s, share_s)
         return Deadline.after(self._clock, min(call_timeout_s, deadline.remaining_s))
 
+    def _transfer_s(self, size: int) -> float:
+        """Return the time to transfer records, allowing for as much other traffic on the link."""
+        link_bytes_per_s = self._settings.link_bytes_per_s
+        return 2 * size / link_bytes_per_s if link_bytes_per_s else 0.0
+
     def _gate(self, topic: str, partition: int) -> PartitionGate:
         gate = self._gates.get((topic, partition))
         if gate is None:
@@ -280,8 +297,9 @@
         deadline: Deadline,
         gate: PartitionGate,
         wait_until_available: bool,
+        transfer_s: float,
     ) -> T:
-        state: _CallState[T] = _CallState(self._clock.now(), gate, wait_until_available)
+        state: _CallState[T] = _CallState(self._clock.now(), gate, wait_until_available, transfer_s)
         try:
             while True:
                 if wait_until_available:
@@ -335,7 +353,8 @@
         while self.available and not deadline.expired:
             self._start_attempt(call, deadline, state)
             timeout_s = min(
-                self._estimate.timeout_s(max(0, state.attempts - 1)), deadline.remaining_s
+                self._estimate.timeout_s(max(0, state.attempts - 1)) + state.transfer_s,
+                deadline.remaining_s,
             )
             if not state.pending:
                 if not self.available:
@@ -398,7 +417,8 @@
             path, started_s = state.pending.pop(task)
             error = task.exception()
             if error is None:
-                self._estimate.observe(self._clock.now() - started_s)
+                elapsed_s = self._clock.now() - started_s
+                self._estimate.observe(max(0.0, elapsed_s - state.transfer_s))
                 self._record_answer(path)
                 self._record_silent_paths(state)
                 state.gate.record_answer()
--- a/src/jayvalve/internal/gateway/store_paths.py
+++ b/src/jayvalve/internal/gateway/store_paths.py
@@ -47,9 +47,19 @@
         """Append records and return the offset of the first one."""
 
     async def read(
-        self, topic: str, partition: int, start: int, timeout_s: float, wait_s: float = 0.0
+        self,
+        topic: str,
+        partition: int,
+        start: int,
+        timeout_s: float,
+        wait_s: float = 0.0,
+        max_bytes: int | None = None,
     ) -> Page:
-        """Return records of a partition from an offset on."""
+        """Return records of a partition from an offset on.
+
+        If the record at the offset has expired, the page is empty and its ``first`` is the offset
+        from which to read on.
+        """
 
 
 C = TypeVar("C", bound=StoreAccess)
--- a/src/jayvalve/internal/gateway/turns.py
+++ b/src/jayvalve/internal/gateway/turns.py
@@ -9,6 +9,7 @@
 from jayvalve.errors import UnavailableError
 from jayvalve.internal.gateway.partitions import Partition, PartitionMap
 from jayvalve.internal.gateway.storage import Storage
+from jayvalve.internal.gateway.turn_locations import TurnLocation, TurnLocations
 from jayvalve.internal.timing import Deadline
 
 __all__ = ["Turn", "TurnSettings", "TurnStore", "UnknownTurnError"]
@@ -18,6 +19,8 @@
 # Number of partitions in which a turn may be stored: the usual one, and one that replaces it while
 # it is unavailable.
 PARTITION_CHOICES = 2
+# The store writes the length of each record before it.
+RECORD_HEADER_BYTES = 4
 
 
 class UnknownTurnError(Exception):
@@ -31,6 +34,7 @@
     Attributes:
         output: Data of the events, each followed by a line feed.
         previous: Id of the turn that this one continues, or None.
+        previous_location: Location of that turn in the store, or None if unknown.
 
     """
 
@@ -38,6 +42,7 @@
     input: bytes
     output: bytes
     previous: str | None = None
+    previous_location: TurnLocation | None = attrs.field(default=None, eq=False)
 
     @property
     def size(self) -> int:
@@ -56,6 +61,8 @@
         inline_bytes: A record also contains preceding turns up to this total size, so that another
             process reads a whole chain with one call.
         record_bytes: Maximum size of a record of the store.
+        page_bytes: Maximum size of one read while a partition is searched. A larger one takes so
+            long on a slow link that its answer seems lost and is requested again.
         partition_timeout_s: Time after which another partition is tried, as an outage may affect
             only some partitions.
 
@@ -64,16 +71,32 @@
     memory_bytes: int = 8 * 1024 * 1024
     inline_bytes: int = 48 * 1024
     record_bytes: int = 262_144
+    page_bytes: int = 128 * 1024
     partition_timeout_s: float = 0.4
 
 
 class TurnStore:
-    """Writes turns to the store and assembles chains of them."""
+    """Writes turns to the store and assembles chains of them.
 
-    def __init__(self, storage: Storage, partitions: PartitionMap, settings: TurnSettings) -> None:
+    Args:
+        storage: Access to the store.
+        partitions: Distribution of the turns.
+        settings: Limits.
+        locations: Locations that the gateways tell each other, or None to search every turn.
+
+    """
+
+    def __init__(
+        self,
+        storage: Storage,
+        partitions: PartitionMap,
+        settings: TurnSettings,
+        locations: TurnLocations | None = None,
+    ) -> None:
         self._storage = storage
         self._partitions = partitions
         self._settings = settings
+        self._locations = locations
         self._turns: OrderedDict[str, Turn] = OrderedDict()
         self._bytes = 0
 
@@ -89,6 +112,7 @@
             UnavailableError: The turn may not have been stored.
 
         """
+        turn = self._with_previous_location(turn)
         records = encode_turns(
             [turn, *self._inlined_predecessors(turn)], self._settings.record_bytes
         )
@@ -103,7 +127,7 @@
             if is_first_round:
                 call_timeout_s = min(call_timeout_s, self._storage.retry_timeout_s)
             try:
-                await self._storage.append(
+                offset = await self._storage.append(
                     partition.topic,
                     partition.index,
                     records,
@@ -117,6 +141,10 @@
                 if deadline.expired:
                     raise
         self._cache_turn(turn)
+        if self._locations is not None:
+            size = sum(map(len, records)) + RECORD_HEADER_BYTES * len(records)
+            location = TurnLocation(tries % PARTITION_CHOICES, offset, size)
+            self._locations.publish(turn.id, location)
 
     async def chain(self, turn_id: str, deadline: Deadline) -> list[Turn]:
         """Return a turn and all turns before it, the oldest first.
@@ -129,18 +157,32 @@
         """
         chain: list[Turn] = []
         wanted_id: str | None = turn_id
+        location: TurnLocation | None = None
         while wanted_id is not None:
             turn = self._turns.get(wanted_id)
             if turn is None:
-                turn = await self._load(wanted_id, deadline)
+                turn = await self._load(wanted_id, location, deadline)
             else:
                 self._turns.move_to_end(wanted_id)
             chain.append(turn)
-            wanted_id = turn.previous
+            wanted_id, location = turn.previous, turn.previous_location
         chain.reverse()
         return chain
 
-    async def _load(self, turn_id: str, deadline: Deadline) -> Turn:
+    def _with_previous_location(self, turn: Turn) -> Turn:
+        """Return the turn with the location of the one before it, if this gateway knows it."""
+        if self._locations is None or turn.previous is None:
+            return turn
+        return attrs.evolve(turn, previous_location=self._locations.known(turn.previous))
+
+    async def _load(self, turn_id: str, location: TurnLocation | None, deadline: Deadline) -> Turn:
+        """Return a turn, read at its location if that is known, or else by a search."""
+        if location is None and self._locations is not None:
+            location = await self._locations.find(turn_id)
+        if location is not None:
+            found = await self._read_at(turn_id, location, deadline)
+            if found is not None:
+                return self._cache_turns(found)
         unreadable = []
         for choice in range(PARTITION_CHOICES):
             partition = self._partitions.of(turn_id, choice)
@@ -162,6 +204,32 @@
                 return self._cache_turns(found)
         raise UnknownTurnError(turn_id)
 
+    async def _read_at(
+        self, turn_id: str, location: TurnLocation, deadline: Deadline
+    ) -> list[Turn] | None:
+        """Return a turn and its predecessors in the same record, or None if it is not there."""
+        partition = self._partitions.of(turn_id, location.choice)
+        try:
+            page = await self._storage.read(
+                partition.topic,
+                partition.index,
+                location.offset,
+                deadline,
+                call_timeout_s=self._settings.partition_timeout_s,
+                wait_until_available=False,
+                max_bytes=location.size,
+            )
+        except UnavailableError:
+            # The storage has logged the refusal; the search waits until the partition answers.
+            return None
+        parts: dict[tuple[str, int], bytes] = {}
+        for record in page.records:
+            turns = decode_turns(record, parts)
+            if turns and turns[0].id == turn_id:
+                return turns
+        _log.bind(turn=turn_id, offset=location.offset).info("no turn at its location; searching")
+        return None
+
     def _cache_turns(self, found: list[Turn]) -> Turn:
         for turn in reversed(found):
             self._cache_turn(turn)
@@ -188,6 +256,7 @@
                 deadline,
                 call_timeout_s=call_timeout_s,
                 wait_until_available=call_timeout_s is None,
+                max_bytes=self._settings.page_bytes,
             )
             if page.first > start:
                 start = page.first
@@ -247,7 +316,21 @@
             if None in pieces:
                 return []
             piece = b"".join(pieces)
-        return [Turn(*fields) for fields in msgpack.unpackb(piece)]
+        return [_decode_turn(*fields) for fields in msgpack.unpackb(piece)]
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         _log.bind(error=repr(error)).warning("skipping a record of turns that cannot be decoded")
         return []
+
+
+def _decode_turn(
+    turn_id: str,
+    input_text: bytes,
+    output: bytes,
+    previous: str | None = None,
+    previous_location: list[int] | None = None,
+) -> Turn:
+    """Return a turn; records of earlier releases have no location of the previous turn."""
+    if previous_location is None:
+        return Turn(turn_id, input_text, output, previous)
+    location = TurnLocation.from_message(previous_location)
+    return Turn(turn_id, input_text, output, previous, location)
--- a/src/jayvalve/platform/process.py
+++ b/src/jayvalve/platform/process.py
@@ -30,6 +30,7 @@
 from jayvalve.internal.gateway.status import StatusServer
 from jayvalve.internal.gateway.storage import Storage, StorageSettings
 from jayvalve.internal.gateway.store_paths import PathSettings, StorePaths
+from jayvalve.internal.gateway.turn_locations import LocationSettings, TurnLocations
 from jayvalve.internal.gateway.turns import TurnSettings, TurnStore
 from jayvalve.internal.lifecycle import run_until_stopped
 from jayvalve.internal.metrics import Metrics
@@ -39,7 +40,7 @@
 from jayvalve.platform.records import decode_configuration, decode_engine
 from jayvalve.platform.relay import PeerCopy, StoreRelay
 from jayvalve.platform.settings import PlatformSettings, load_platform_settings
-from jayvalve.platform.store import RecordsExpiredError, StoreClient
+from jayvalve.platform.store import StoreClient
 from jayvalve.platform.topics import KeyedTopic, PeerRegister
 
 __all__ = ["GatewayProcess", "main", "run_gateway"]
@@ -202,7 +203,13 @@
             PathSettings(),
             self._rng,
         )
-        self._storage = Storage(self._paths, clock, StorageSettings(), self._rng, _probe_store)
+        self._storage = Storage(
+            self._paths,
+            clock,
+            StorageSettings(link_bytes_per_s=settings.link_bytes_per_s),
+            self._rng,
+            _probe_store,
+        )
         self._relay = StoreRelay(
             store_client, lambda: self._paths.direct_usable, lambda: self._followers
         )
@@ -212,6 +219,9 @@
             self._storage,
             PartitionMap("turn-", TURN_TOPICS, store.partitions),
             TurnSettings(record_bytes=store.record_bytes),
+            TurnLocations(
+                self._calls, settings.peer, self._loads.live_addresses, LocationSettings()
+            ),
         )
         self._directory = EngineDirectory(clock, DirectorySettings())
         self._health = HealthTracker(clock, HealthSettings(), settings.data_centre)
@@ -441,10 +451,7 @@
 
 async def _probe_store(client: StoreClient, timeout_s: float) -> None:
     """Make a call that the store answers immediately on any working path."""
-    try:
-        await client.read(names.CONFIG_TOPIC, 0, 0, timeout_s)
-    except RecordsExpiredError:
-        return
+    await client.read(names.CONFIG_TOPIC, 0, 0, timeout_s, max_bytes=1)
 
 
 def run_gateway(path: str | None = None) -> None:
--- a/src/jayvalve/platform/settings.py
+++ b/src/jayvalve/platform/settings.py
@@ -11,6 +11,7 @@
 __all__ = ["PlatformSettings", "StoreLimits", "load_platform_settings"]
 
 MS_PER_S = 1000.0
+BYTES_PER_MEGABIT = 125_000
 
 
 @attrs.frozen
@@ -43,6 +44,8 @@
         control: Additional address at which readiness and metrics are served, or None.
         drain_s: Time within which a draining engine must stop receiving new work, in seconds.
         grace_s: Time from SIGTERM to SIGKILL, in seconds.
+        link_bytes_per_s: Speed of the machine's network link, or None if the platform does not
+            give it.
 
     """
 
@@ -56,6 +59,7 @@
     drain_s: float
     grace_s: float
     memory_mb: int
+    link_bytes_per_s: float | None = None
 
     @classmethod
     def from_config(cls, config: Any) -> "PlatformSettings":
@@ -95,6 +99,7 @@
             drain_s=float(bounds.get("drain_ms", 2000)) / MS_PER_S,
             grace_s=float(bounds.get("grace_s", 8)),
             memory_mb=int(config["limits"]["memory_mb"]),
+            link_bytes_per_s=_link_bytes_per_s(config["limits"].get("link_mbps")),
         )
 
 
@@ -119,6 +124,14 @@
     return host, int(port)
 
 
+def _link_bytes_per_s(megabits_per_s: Any) -> float | None:
+    if megabits_per_s is None:
+        return None
+    if float(megabits_per_s) <= 0:
+        raise ValueError(f"limits.link_mbps must be greater than 0, not {megabits_per_s!r}")
+    return float(megabits_per_s) * BYTES_PER_MEGABIT
+
+
 def _require_positive_integer(value: Any, name: str) -> int:
     if type(value) is not int or value < 1:
         raise ValueError(f"{name} must be a positive whole number, not {value!r}")
--- a/src/jayvalve/platform/store.py
+++ b/src/jayvalve/platform/store.py
@@ -20,7 +20,6 @@
 __all__ = [
     "KeyedRecord",
     "NewestPage",
-    "RecordsExpiredError",
     "StoreClient",
     "StorePage",
     "decode_keyed",
@@ -31,14 +30,7 @@
 _BOUNDS = struct.Struct(">QQ")
 # The store refuses reads with a longer wait.
 MAX_WAIT_S = 30.0
-
-
-class RecordsExpiredError(Exception):
-    """The requested offset precedes the oldest record that the partition still contains."""
-
-    def __init__(self, first: int) -> None:
-        super().__init__(f"records before offset {first} have expired")
-        self.first = first
+BYTES_PER_KIB = 1024
 
 
 @attrs.frozen
@@ -140,12 +132,28 @@
             ) from error
 
     async def read(
-        self, topic: str, partition: int, start: int, timeout_s: float, wait_s: float = 0.0
+        self,
+        topic: str,
+        partition: int,
+        start: int,
+        timeout_s: float,
+        wait_s: float = 0.0,
+        max_bytes: int | None = None,
     ) -> StorePage:
         """Return the records from offset start on, after waiting up to wait_s for the first one.
 
+        If the record at offset start has expired, the page is empty and its ``first`` is the
+        offset of the oldest record.
+
+        Args:
+            topic: Name of the topic.
+            partition: Number of the partition.
+            start: Offset of the first record.
+            timeout_s: Timeout of the call, in seconds.
+            wait_s: How long to wait for a record, in seconds.
+            max_bytes: Maximum size of the page; one record is returned even if it is larger.
+
         Raises:
-            RecordsExpiredError: the record at offset start is no longer kept.
             LogUnavailableError: the call was not sent, was refused or got a malformed answer.
             LogAnswerLostError: no complete answer arrived.
 
@@ -153,11 +161,15 @@
         query = {"topic": topic, "part": partition, "source": start}
         if wait_s:
             query["wait_ms"] = int(min(wait_s, MAX_WAIT_S) * 1000)
+        if max_bytes is not None:
+            # The store counts this limit in units of 1,024 bytes.
+            query["max_size"] = max(1, -(-max_bytes // BYTES_PER_KIB))
         target = "/api/log-read?" + urlencode(query)
         action = f"read of {topic}/{partition}"
         status, answer = await self.forward("GET", target, b"", timeout_s)
         if status == 410:
-            raise RecordsExpiredError(_first_offset(answer))
+            first = _first_offset(answer)
+            return StorePage(first, first, start, ())
         self._check_status(status, action)
         try:
             return _decode_page(answer, start)
--- a/src/jayvalve/platform/topics.py
+++ b/src/jayvalve/platform/topics.py
@@ -5,7 +5,6 @@
 
 from jayvalve.platform import names
 from jayvalve.platform.store import (
-    RecordsExpiredError,
     StoreClient,
     decode_keyed,
     encode_keyed,
@@ -67,10 +66,7 @@
         It is needed if records from offset start on have expired or the topic ends before start.
         """
         client = self._store()
-        try:
-            page = await client.read(self._topic, 0, start, timeout_s, wait_s)
-        except RecordsExpiredError:
-            return None
+        page = await client.read(self._topic, 0, start, timeout_s, wait_s)
         self._record_answer(client)
         if page.first > start or page.end < start:
             return None
