Cut answers without end, and keep the event loop running meanwhile

Cause: the client of engines, store and peers read answers to other requests in a loop without bound that never suspended its task, because reading buffered bytes completes at once. One engine that sent such answers without end stopped all work of a gateway until it stopped. An event without end, and a collected body without end, grew in memory up to 100 MB for each call.

Change: bounds on the number and size of skipped answers, on collected bodies, on bodies without a length, and on events; an unexpected error while reading an answer now fails its exchange instead of leaving the caller to wait for its time limit.

--- a/src/jayvalve/internal/gateway/events.py
+++ b/src/jayvalve/internal/gateway/events.py
@@ -2,7 +2,10 @@
 
 import attrs
 
-__all__ = ["Event", "EventSplitter"]
+__all__ = ["Event", "EventSplitter", "EventTooLargeError"]
+
+# Models produce a few hundred bytes per event.
+MAX_EVENT_BYTES = 1024 * 1024
 
 
 @attrs.frozen
@@ -21,10 +24,20 @@
     data: bytes | None
 
 
+class EventTooLargeError(Exception):
+    """An event exceeds the limit; the endpoint may be sending bytes without end."""
+
+
 class EventSplitter:
-    """Collects bytes and returns the events that they complete."""
+    """Collects bytes and returns the events that they complete.
+
+    Args:
+        max_event_bytes: Maximum size of one event.
 
-    def __init__(self) -> None:
+    """
+
+    def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
+        self._max_event_bytes = max_event_bytes
         self._buffer = b""
 
     @property
@@ -33,12 +46,19 @@
         return self._buffer
 
     def feed(self, chunk: bytes) -> list[Event]:
-        """Add bytes and return the events that they complete."""
+        """Add bytes and return the events that they complete.
+
+        Raises:
+            EventTooLargeError: The event that has not ended yet exceeds the limit.
+
+        """
         self._buffer += chunk
         events = []
         while (end := _event_end(self._buffer)) is not None:
             raw, self._buffer = self._buffer[:end], self._buffer[end:]
             events.append(_parse(raw))
+        if len(self._buffer) > self._max_event_bytes:
+            raise EventTooLargeError(f"an event exceeds {self._max_event_bytes} bytes")
         return events
 
 
--- a/src/jayvalve/internal/gateway/http_client.py
+++ b/src/jayvalve/internal/gateway/http_client.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 import attrs
+from loguru import logger
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
     HTTPHeaders,
@@ -34,12 +35,16 @@
     "ResponseHead",
 ]
 
+_log = logger.bind(part="http_client")
+
 Address = tuple[str, int]
 
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 # Maximum number of chunks queued for a slow reader. The client stops reading from the endpoint
 # while the queue is full.
 _MAX_QUEUED_CHUNKS = 16
+# Maximum size of a body that is passed on as it arrives, in bytes.
+_MAX_STREAMED_BYTES = 2**40
 
 
 class NotSentError(Exception):
@@ -91,6 +96,11 @@
             timeout, because the peer may close it while the request is in transit.
         max_idle: Maximum number of idle connections to one address.
         max_header_bytes: Maximum size of the header block of a response.
+        max_skipped_responses: Maximum number of responses to other requests that are read before
+            the one that is expected. A late copy of an earlier response is one.
+        max_skipped_bytes: Maximum size of the bodies of these responses, in bytes.
+        max_buffer_bytes: Maximum number of bytes of one response that are held in memory: a body
+            that is collected whole, or one without a length, which ends with its connection.
 
     """
 
@@ -100,6 +110,9 @@
     keep_alive_margin_s: float = 0.7
     max_idle: int = 32
     max_header_bytes: int = 65_536
+    max_skipped_responses: int = 8
+    max_skipped_bytes: int = 1024 * 1024
+    max_buffer_bytes: int = 16 * 1024 * 1024
 
 
 class _Stream(IOStream):
@@ -135,7 +148,11 @@
     def __init__(self, settings: PoolSettings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
-        self._parameters = HTTP1ConnectionParameters(max_header_size=settings.max_header_bytes)
+        self._parameters = HTTP1ConnectionParameters(
+            max_header_size=settings.max_header_bytes,
+            # Bodies with a length pass through a queue of a few chunks, so they need no limit.
+            max_body_size=_MAX_STREAMED_BYTES,
+        )
         self._idle: dict[Address, list[_Connection]] = {}
         self._opened = 0
 
@@ -171,7 +188,7 @@
         reused = connection is not None
         if connection is None:
             connection = await self._connect(request.address)
-        exchange = Exchange(self, connection, self._parameters, accepts, reused)
+        exchange = Exchange(self, connection, self._parameters, self._settings, accepts, reused)
         exchange.start(request)
         return exchange
 
@@ -230,7 +247,7 @@
         user_timeout_ms = int(self._settings.user_timeout_s * 1000)
         with contextlib.suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
-        stream = _Stream(sock)
+        stream = _Stream(sock, max_buffer_size=self._settings.max_buffer_bytes)
         self._opened += 1
         try:
             async with asyncio.timeout(self._settings.connect_timeout_s):
@@ -268,17 +285,21 @@
         pool: HttpPool,
         connection: _Connection,
         parameters: HTTP1ConnectionParameters,
+        settings: PoolSettings,
         accepts: Callable[[ResponseHead], bool] | None,
         reused: bool,
     ) -> None:
         self._pool = pool
         self._connection = connection
         self._parameters = parameters
+        self._settings = settings
         self._accepts = accepts
         self._reused = reused
         self._head: ResponseHead | None = None
         self._skipping = False
         self._skipped_count = 0
+        self._skipped_bytes = 0
+        self._cause: str | None = None
         self._complete = False
         self._items: asyncio.Queue[Any] = asyncio.Queue(_MAX_QUEUED_CHUNKS)
         self._reader: asyncio.Task[None] | None = None
@@ -334,8 +355,19 @@
             yield item
 
     async def body(self) -> bytes:
-        """Return the whole body; raises the same errors as chunks()."""
-        return b"".join([chunk async for chunk in self.chunks()])
+        """Return the whole body.
+
+        Raises:
+            BrokenConnectionError: As for chunks(), or the body exceeds max_buffer_bytes.
+
+        """
+        body = bytearray()
+        async for chunk in self.chunks():
+            body += chunk
+            if len(body) > self._settings.max_buffer_bytes:
+                self._break(f"the body exceeds {self._settings.max_buffer_bytes} bytes")
+                raise BrokenConnectionError(self._describe_break())
+        return bytes(body)
 
     def abort(self) -> None:
         """Close the connection unless the response is complete, so the endpoint stops its work."""
@@ -358,6 +390,10 @@
         """Queue a part of the body; waits while the queue is full."""
         if not self._skipping:
             await self._items.put(chunk)
+            return
+        self._skipped_bytes += len(chunk)
+        if self._skipped_bytes > self._settings.max_skipped_bytes:
+            self._break(f"over {self._settings.max_skipped_bytes} bytes belong to other requests")
 
     def finish(self) -> None:
         """Handle the end of a response."""
@@ -379,10 +415,21 @@
                 is_open = await connection.read_response(self)
                 if self._skipped_count == skipped_before or not is_open:
                     break
+                if self._skipped_count > self._settings.max_skipped_responses:
+                    self._break(f"{self._skipped_count} responses belong to other requests")
+                    break
+                # Reading buffered bytes never suspends this task, so other tasks would not run
+                # while an endpoint sends such responses without end.
+                await asyncio.sleep(0)
                 connection = HTTP1Connection(stream, True, self._parameters)
                 connection.finish()
         except StreamClosedError:
             is_open = False
+        except Exception as error:
+            # The library raises unspecific errors for some malformed responses.
+            is_open = False
+            self._complete = False
+            self._break(f"the response cannot be read: {error!r}")
         if self._complete and self._head is not None:
             if is_open:
                 self._pool.release(self._connection, self._head)
@@ -393,8 +440,15 @@
         stream.close()
         await self._items.put(_BROKEN)
 
+    def _break(self, cause: str) -> None:
+        """Close the connection because of what the endpoint sent."""
+        self._cause = cause
+        host, port = self._connection.address
+        _log.bind(address=f"{host}:{port}", cause=cause).warning("closed a connection")
+        self._connection.stream.close()
+
     def _describe_break(self) -> str:
         host, port = self._connection.address
-        cause = self._connection.stream.error
+        cause = self._cause or repr(self._connection.stream.error)
         kind = "kept" if self._reused else "new"
-        return f"{kind} connection to {host}:{port} broke: {cause!r}"
+        return f"{kind} connection to {host}:{port} broke: {cause}"
--- a/src/jayvalve/internal/gateway/service.py
+++ b/src/jayvalve/internal/gateway/service.py
@@ -30,7 +30,7 @@
     reason_phrase,
 )
 from jayvalve.internal.gateway.decisions import DecisionLog
-from jayvalve.internal.gateway.events import EventSplitter
+from jayvalve.internal.gateway.events import EventSplitter, EventTooLargeError
 from jayvalve.internal.gateway.http_client import BrokenConnectionError
 from jayvalve.internal.gateway.model import RequestInfo, Route, RouteKind, RoutingTable
 from jayvalve.internal.gateway.sender import EngineAnswer, EngineSender
@@ -344,7 +344,7 @@
                     last_id = event.id if event.id is not None else last_id
             if splitter.remainder:
                 await responder.write(splitter.remainder)
-        except BrokenConnectionError as error:
+        except (BrokenConnectionError, EventTooLargeError) as error:
             raise _BrokenStreamError(str(error), last_id) from error
         return last_id
 
