Survive malformed messages and records; restart background tasks that fail

Cause: several decoders caught the errors that their authors expected and no others. A load message with a count that is not finite raised OverflowError in the task of the exchange, a record of an engine with a huge number or deep nesting raised OverflowError or RecursionError in the follower, and a gateway ended itself when one of its tasks failed: one such datagram or record stopped all gateways that read it. A report of failures with a text in place of a number made every choice of an engine fail. An error in one change of a followed topic lost the others of its page.

Change: one tuple of errors for malformed input, checked addresses and counts, and a supervisor that logs, counts and restarts tasks that fail. A gateway that starts from the copies of others takes the newest of up to three.

--- a/src/jayvalve/internal/gateway/accounts.py
+++ b/src/jayvalve/internal/gateway/accounts.py
@@ -13,6 +13,7 @@
 from jayvalve.errors import LogUnavailableError, UnavailableError
 from jayvalve.internal.gateway.partitions import Partition
 from jayvalve.internal.gateway.storage import Storage
+from jayvalve.internal.malformed import MALFORMED_ERRORS
 from jayvalve.internal.timing import Clock, Deadline
 
 __all__ = ["Account", "AccountLog", "AccountSettings", "TokenRequest"]
@@ -312,5 +313,5 @@
                     account.reserve(name, tokens, *rest)
                 else:
                     account.settle(name, tokens)
-            except (ValueError, TypeError, IndexError, msgpack.UnpackException) as error:
+            except (msgpack.UnpackException, *MALFORMED_ERRORS) as error:
                 _log.bind(error=repr(error)).warning("skipped a malformed budget record")
--- a/src/jayvalve/internal/gateway/follower.py
+++ b/src/jayvalve/internal/gateway/follower.py
@@ -141,7 +141,11 @@
                 self._values.pop(key, None)
             else:
                 self._values[key] = value
-            self._on_change(key, value)
+            try:
+                self._on_change(key, value)
+            except Exception as error:
+                # The other changes of the page must take effect all the same.
+                _log.bind(key=key).opt(exception=error).error("a change could not be applied")
 
     async def _start_from_peer(self) -> None:
         """Use another process's copy if the store has not been read since the start."""
--- a/src/jayvalve/internal/gateway/peer_calls.py
+++ b/src/jayvalve/internal/gateway/peer_calls.py
@@ -13,6 +13,7 @@
 import attrs
 from loguru import logger
 
+from jayvalve.internal.malformed import MALFORMED_ERRORS
 from jayvalve.internal.timing import Clock
 
 __all__ = ["CallSettings", "PeerCalls", "PeerTimeoutError"]
@@ -149,7 +150,7 @@
         """Process a message from another gateway.
 
         Raises:
-            ValueError, TypeError: The message is malformed.
+            ValueError, TypeError, LookupError: The message is malformed.
 
         """
         message_type, call_id, *rest = message
@@ -188,7 +189,7 @@
         async def run() -> None:
             try:
                 incoming.reply = await handler(arguments)
-            except (ValueError, TypeError) as error:
+            except MALFORMED_ERRORS as error:
                 _log.bind(kind=kind, error=repr(error)).warning("ignoring a malformed call")
                 return
             self._transmit(address, [_REPLY, call_id, incoming.reply])
--- a/src/jayvalve/internal/gateway/peers.py
+++ b/src/jayvalve/internal/gateway/peers.py
@@ -17,6 +17,7 @@
 
 from jayvalve.internal.gateway.health import HealthTracker
 from jayvalve.internal.gateway.loads import PeerLoads, PeerSettings
+from jayvalve.internal.malformed import MALFORMED_ERRORS
 from jayvalve.internal.timing import Clock
 
 __all__ = ["CallSocket", "LoadExchange"]
@@ -47,15 +48,32 @@
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Pass on a message from another gateway; malformed datagrams are dropped."""
-        with contextlib.suppress(ValueError, TypeError, msgpack.UnpackException):
+        try:
             self._on_message(tuple(addr), msgpack.unpackb(data))
+        except (msgpack.UnpackException, *MALFORMED_ERRORS) as error:
+            _log.bind(sender=addr, error=repr(error)).info("dropped a malformed message")
 
     def send(self, address: Address, message: list[Any]) -> None:
         """Send a message, which may be lost."""
+        if self._transport is None or self._transport.is_closing():
+            return
         with contextlib.suppress(OSError):
             self._transport.sendto(msgpack.packb(message), address)
 
 
+def _count(value: Any) -> int:
+    if type(value) is not int or value < 0:
+        raise ValueError(f"{value!r} is not a number of requests or tokens")
+    return value
+
+
+def _finite(value: Any) -> float:
+    number = float(value)
+    if not math.isfinite(number) or number < 0:
+        raise ValueError(f"{value!r} is not a number of outcomes")
+    return number
+
+
 @attrs.frozen
 class _LastMessage:
     """Time of the last message to a gateway, and the version of the loads that it contained."""
@@ -146,8 +164,12 @@
                 # For instance, the kernel reports that an earlier message was not delivered.
                 _log.bind(error=repr(error)).debug("failed to receive a load message")
                 continue
-            with contextlib.suppress(ValueError, TypeError, msgpack.UnpackException):
+            try:
                 self._process_message(address, *msgpack.unpackb(data))
+            except (msgpack.UnpackException, *MALFORMED_ERRORS) as error:
+                _log.bind(sender=address, error=repr(error)).info(
+                    "dropped a malformed load message"
+                )
 
     def _process_message(
         self,
@@ -158,11 +180,21 @@
         running: dict[str, tuple[int, int]],
         counts: dict[str, tuple[float, float]],
     ) -> None:
-        valid = type(sequence) is int and isinstance(running, dict) and isinstance(counts, dict)
-        if valid and sender != self._name:
-            call_address = (address[0], address[1] - self.PORT_OFFSET)
-            self._loads.receive(str(sender), sequence, running, call_address)
-            self._health.receive(str(sender), str(data_centre), counts)
+        if type(sequence) is not int or not isinstance(sender, str):
+            raise ValueError(f"{sender!r}, {sequence!r} do not identify a message")
+        if sender == self._name:
+            return
+        loads = {
+            str(engine): (_count(requests), _count(tokens))
+            for engine, (requests, tokens) in running.items()
+        }
+        failures = {
+            str(engine): (_finite(failed), _finite(succeeded))
+            for engine, (failed, succeeded) in counts.items()
+        }
+        call_address = (address[0], address[1] - self.PORT_OFFSET)
+        self._loads.receive(sender, sequence, loads, call_address)
+        self._health.receive(sender, str(data_centre), failures)
 
     def notify_change(self) -> None:
         """Send the loads in the next round, without waiting for the keepalive interval."""
--- a/src/jayvalve/internal/gateway/turns.py
+++ b/src/jayvalve/internal/gateway/turns.py
@@ -10,6 +10,7 @@
 from jayvalve.internal.gateway.partitions import Partition, PartitionMap
 from jayvalve.internal.gateway.storage import Storage
 from jayvalve.internal.gateway.turn_locations import TurnLocation, TurnLocations
+from jayvalve.internal.malformed import MALFORMED_ERRORS
 from jayvalve.internal.timing import Deadline
 
 __all__ = ["Turn", "TurnSettings", "TurnStore", "UnknownTurnError"]
@@ -317,7 +318,7 @@
                 return []
             piece = b"".join(pieces)
         return [_decode_turn(*fields) for fields in msgpack.unpackb(piece)]
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
+    except (msgpack.UnpackException, *MALFORMED_ERRORS) as error:
         _log.bind(error=repr(error)).warning("skipping a record of turns that cannot be decoded")
         return []
 
--- a/src/jayvalve/platform/process.py
+++ b/src/jayvalve/platform/process.py
@@ -34,6 +34,7 @@
 from jayvalve.internal.gateway.turns import TurnSettings, TurnStore
 from jayvalve.internal.lifecycle import run_until_stopped
 from jayvalve.internal.metrics import Metrics
+from jayvalve.internal.supervision import SupervisionSettings, TaskSupervisor
 from jayvalve.internal.timing import Clock
 from jayvalve.platform import names
 from jayvalve.platform.headers import PlatformHeaders
@@ -82,11 +83,13 @@
         self._rng = random.Random(f"{settings.instance}/{os.getpid()}/{self._clock.wall()}")
         self._name = f"{settings.instance}/{self._rng.getrandbits(32):08x}"
         self._stack = contextlib.AsyncExitStack()
-        self._tasks: set[asyncio.Task[Any]] = set()
         self._draining = False
         self._writer = LogWriter(log_descriptor, LogLimits(), self._clock)
         self._log = DecisionLog(self._writer, settings.instance, self._clock)
         self._metrics = Metrics()
+        # The log is written until all other tasks have ended.
+        self._supervisor = self._new_supervisor()
+        self._tasks = self._new_supervisor()
         self._build()
 
     @classmethod
@@ -118,7 +121,8 @@
         """Start all components and return the JSON line that reports the address for callers."""
         settings = self._settings
         self._log.capture_messages()
-        self._start_task(self._writer.run())
+        self._stack.push_async_callback(self._supervisor.close)
+        self._supervisor.start("log writer", self._writer.run)
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._reload()
@@ -138,15 +142,19 @@
         self._stack.callback(transport.close)
         self._exchange.open(settings.peer)
         self._stack.callback(self._exchange.close)
-        self._stack.push_async_callback(self._cancel_tasks)
-        for follower in (self._configuration, self._engines, self._peers):
-            self._start_task(follower.run())
-        self._start_task(self._storage.run())
-        self._start_task(self._ledger.run())
-        self._start_task(self._budgets.run())
-        self._start_task(self._exchange.run())
-        self._start_task(self._announce_address())
-        self._start_task(self._expire_accounts())
+        self._stack.push_async_callback(self._tasks.close)
+        for name, work in {
+            "configuration": self._configuration.run,
+            "engines": self._engines.run,
+            "gateways": self._peers.run,
+            "store probes": self._storage.run,
+            "idle leases": self._ledger.run,
+            "remote turns": self._budgets.run,
+            "loads": self._exchange.run,
+            "announcement": self._announce_address,
+            "expired accounts": self._expire_accounts,
+        }.items():
+            self._tasks.start(name, work)
         # Objects created so far live as long as the process, so the garbage collector need not
         # examine them.
         gc.freeze()
@@ -187,6 +195,9 @@
         self._log.write("stop")
         self._writer.flush()
 
+    def _new_supervisor(self) -> TaskSupervisor:
+        return TaskSupervisor(self._clock, SupervisionSettings(), self._count_task_failure)
+
     def _build(self) -> None:
         settings, clock = self._settings, self._clock
         store = settings.store
@@ -430,23 +441,8 @@
         except InvalidSettingsError as error:
             self._log.write("reload", outcome="refused", error=error.message)
 
-    def _start_task(self, work: Any) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._handle_task_done)
-
-    def _handle_task_done(self, task: asyncio.Task[Any]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self._log.write("background task failed", error=repr(task.exception()))
-            # Stop the process: without this task, it would serve requests from stale data.
-            os.kill(os.getpid(), signal.SIGTERM)
-
-    async def _cancel_tasks(self) -> None:
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+    def _count_task_failure(self, name: str) -> None:
+        self._metrics.count("jayvalve_gateway_task_failures_total", task=name)
 
 
 async def _probe_store(client: StoreClient, timeout_s: float) -> None:
--- a/src/jayvalve/platform/records.py
+++ b/src/jayvalve/platform/records.py
@@ -1,6 +1,7 @@
 """Decoding of the records that the operator and the engines write to the store."""
 
 import json
+import math
 from typing import Any
 
 from jayvalve.errors import InvalidSettingsError
@@ -15,6 +16,7 @@
     RoutingTable,
     ServiceSpec,
 )
+from jayvalve.internal.malformed import MALFORMED_ERRORS, checked_address
 
 __all__ = ["decode_configuration", "decode_engine"]
 
@@ -36,13 +38,13 @@
         return EngineRecord(
             key=EngineKey(engine_id, _require_integer(entry.get("born", 0))),
             service=entry["service"],
-            address=(_require_ipv4_address(host), int(port)),
+            address=checked_address(host, port),
             data_centre=entry["zone"] if isinstance(entry.get("zone"), str) else "",
             slots=slots,
             state=EngineState(entry["state"]),
             warm_up_s=_number_or_zero(entry.get("cold_remaining_ms", 0)) / MS_PER_S,
         )
-    except (ValueError, TypeError, KeyError, AttributeError):
+    except MALFORMED_ERRORS:
         return None
 
 
@@ -62,7 +64,7 @@
             services=services,
             limits=_decode_limits(document.get("limits") or {}),
         )
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except MALFORMED_ERRORS as error:
         raise InvalidSettingsError(f"configuration cannot be read: {error!r}") from error
 
 
@@ -74,9 +76,9 @@
         services = ((entry["service"], 1.0),)
     timeout_s = float(entry["timeout_ms"]) / MS_PER_S
     return Route(
-        name=entry["name"],
+        name=_require_text(entry["name"]),
         host=entry["host"].lower(),
-        path_prefix=entry["path_prefix"],
+        path_prefix=_require_text(entry["path_prefix"]),
         kind=RouteKind(entry["type"]),
         services=services,
         max_attempts=max(1, int(entry.get("max_attempts") or 1)),
@@ -118,11 +120,13 @@
 
 
 def _number_or_zero(value: Any) -> float:
-    return float(value) if isinstance(value, int | float) else 0.0
+    number = float(value) if isinstance(value, int | float) else 0.0
+    if not math.isfinite(number):
+        raise ValueError(f"{value!r} is not finite")
+    return number
 
 
-def _require_ipv4_address(host: str) -> str:
-    parts = host.split(".")
-    if len(parts) != 4 or not all(part.isdigit() and int(part) < 256 for part in parts):
-        raise ValueError(f"{host!r} is not an IPv4 address")
-    return host
+def _require_text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"{value!r} is not a text")
+    return value
--- a/src/jayvalve/platform/relay.py
+++ b/src/jayvalve/platform/relay.py
@@ -11,6 +11,7 @@
 
 from jayvalve.errors import LogUnavailableError, UnavailableError
 from jayvalve.internal.gateway.follower import KeyedFollower
+from jayvalve.internal.malformed import MALFORMED_ERRORS
 from jayvalve.platform.store import StoreClient
 
 __all__ = ["PeerCopy", "StoreRelay"]
@@ -117,6 +118,7 @@
 
         """
         target = f"{COPY_PATH}?{urlencode({'topic': self._topic})}"
+        newest: tuple[dict[str, bytes], int] | None = None
         for peer in list(self._peers())[: self.MAX_PEERS_ASKED]:
             try:
                 status, body = await peer.forward("GET", target, b"", timeout_s)
@@ -125,8 +127,14 @@
                     values = {
                         key: base64.b64decode(value) for key, value in document["values"].items()
                     }
-                    return values, int(document["next"])
-            except (UnavailableError, ValueError, KeyError, TypeError, AttributeError):
+                    start = int(document["next"])
+                    # The copy of a gateway that was cut off longer than the others still has
+                    # engines that have left.
+                    if newest is None or start > newest[1]:
+                        newest = values, start
+            except (UnavailableError, *MALFORMED_ERRORS):
                 # Another gateway may have a copy. If none has, the follower logs the error.
                 continue
+        if newest is not None:
+            return newest
         raise LogUnavailableError(f"no gateway returned a copy of {self._topic}")
--- a/src/jayvalve/platform/store.py
+++ b/src/jayvalve/platform/store.py
@@ -16,6 +16,7 @@
     HttpPool,
     NotSentError,
 )
+from jayvalve.internal.malformed import MALFORMED_ERRORS
 
 __all__ = [
     "KeyedRecord",
@@ -126,7 +127,7 @@
         self._check_status(status, f"append to {topic}/{partition}")
         try:
             return int(json.loads(answer)["offset"])
-        except (ValueError, KeyError, TypeError) as error:
+        except MALFORMED_ERRORS as error:
             raise LogAnswerLostError(
                 f"append to {topic} was answered with a malformed body: {error}"
             ) from error
@@ -203,7 +204,7 @@
                 for item in document["items"]
             )
             return NewestPage(records, bool(document["has_more"]), int(document["end_offset"]))
-        except (ValueError, KeyError, TypeError) as error:
+        except MALFORMED_ERRORS as error:
             raise LogUnavailableError(f"newest records of {topic} are malformed") from error
 
     async def trim(self, topic: str, partition: int, before: int, timeout_s: float) -> None:
@@ -271,5 +272,5 @@
 def _first_offset(answer: bytes) -> int:
     try:
         return int(json.loads(answer)["first_offset"])
-    except (ValueError, KeyError, TypeError) as error:
+    except MALFORMED_ERRORS as error:
         raise LogUnavailableError("the answer to a read of expired records is malformed") from error
--- a/src/jayvalve/platform/topics.py
+++ b/src/jayvalve/platform/topics.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Callable
 
+from jayvalve.internal.malformed import MALFORMED_ERRORS, checked_address
 from jayvalve.platform import names
 from jayvalve.platform.store import (
     StoreClient,
@@ -111,6 +112,6 @@
         """Return the address in a record, or None if the record is malformed."""
         try:
             host, port = json.loads(value)["peer"]
-            return str(host), int(port)
-        except (ValueError, KeyError, TypeError):
+            return checked_address(host, port)
+        except MALFORMED_ERRORS:
             return None
