--- a/src/jayvalve/deployments/processes.py
+++ b/src/jayvalve/deployments/processes.py
@@ -22,15 +22,17 @@
 __all__ = ["PortBlock", "ProcessDeployment"]
 
 LOOPBACK = "127.0.0.1"
-READY_TIMEOUT_S = 30.0
+# A deployment of a dozen processes takes about 3 s to start on an idle machine.
+READY_TIMEOUT_S = 120.0
 STOP_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.05
 REQUEST_TIMEOUT_S = 2.0
 
 
 # Below the range that Linux uses for outgoing connections (32768 to 60999): otherwise one of them
-# could take a port after it is selected here and before a process binds it.
-PORT_RANGE = (12_000, 32_000)
+# could take a port after it is selected here and before a process binds it. The tests assign ports
+# from 20000 on to single processes.
+PORT_RANGE = (12_000, 20_000)
 BLOCK_PORTS = 100
 
 
--- a/src/jayvalve/internal/entry/app.py
+++ b/src/jayvalve/internal/entry/app.py
@@ -241,11 +241,11 @@
                 self._clock,
                 self._settings.retention_seconds,
             )
-            runtime.spawn(model_placement.run())
-            runtime.spawn(self._configuration.run())
-            runtime.spawn(self._renewal.run())
-            runtime.spawn(self._upkeep.join())
-        runtime.spawn(self._upkeep.run())
+            runtime.supervise("model placement", model_placement.run)
+            runtime.supervise("configuration", self._configuration.run)
+            runtime.supervise("epoch renewal", self._renewal.run)
+            runtime.supervise("first epoch", self._upkeep.join)
+        runtime.supervise("program upkeep", self._upkeep.run)
         return f"entry {self._settings.instance} ready on http://{runtime.http_address}"
 
     async def drain(self) -> None:
--- a/src/jayvalve/internal/entry/upkeep.py
+++ b/src/jayvalve/internal/entry/upkeep.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 from collections.abc import Callable
 
 from jayvalve.errors import JayvalveError
@@ -92,7 +93,7 @@
         for key in self._table.programs:
             identity = ProgramId.from_key(key)
             owned = self._table.get(identity)
-            if owned is None or usable.issuperset(*owned.writer.sets):
+            if owned is None or usable.issuperset(itertools.chain(*owned.writer.sets)):
                 continue
             with contextlib.suppress(JayvalveError):
                 await self._table.change_copy_set(identity)
--- a/src/jayvalve/internal/gateway/storage.py
+++ b/src/jayvalve/internal/gateway/storage.py
@@ -371,6 +371,7 @@
             if result is not None:
                 return result
             self._record_silent_paths(state)
+            self._check_paths()
         if not self.available:
             return None
         raise self._failure_error(state)
@@ -441,6 +442,11 @@
             if waited_s >= self._settings.silence_timeout_s and path.failing_since_s is None:
                 self._paths.record_failure(path, f"silent for {waited_s:.2f} s", certain=True)
 
+    def _check_paths(self) -> None:
+        """Mark the store as unavailable if no path is left, before a call reports its failure."""
+        if not self._paths.direct_usable and self._paths.pick() is None:
+            self._mark_unavailable("no path is left")
+
     def _record_answer(self, path: StorePath[StoreAccess]) -> None:
         self._paths.record_success(path)
         if self._unavailable_since_s is not None:
--- a/src/jayvalve/internal/runtime.py
+++ b/src/jayvalve/internal/runtime.py
@@ -4,7 +4,7 @@
 import contextlib
 import socket
 import time
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from loguru import logger
@@ -20,6 +20,7 @@
 )
 from jayvalve.internal.metrics import Metrics
 from jayvalve.internal.settings import Settings
+from jayvalve.internal.supervision import SupervisionSettings, TaskSupervisor
 from jayvalve.internal.timing import Clock
 from jayvalve.internal.tls import TlsContexts, TlsFiles
 from jayvalve.internal.transport import HandlerTable, PeerPool, PeerServer
@@ -68,6 +69,9 @@
         self._state = LIVE
         self._stack = contextlib.AsyncExitStack()
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._supervisor = TaskSupervisor(
+            self._clock, SupervisionSettings(), self._count_task_failure
+        )
         self._log = logger.bind(part=role, instance=settings.instance)
         self._tls = TlsFiles.from_config(settings.tls) if settings.tls else None
         self._peer_sockets, peer_address = _bind(settings.peer_address)
@@ -159,13 +163,16 @@
         self._stack.push_async_callback(http_server.close_all_connections)
         self._stack.callback(http_server.stop)
         self._stack.push_async_callback(self._cancel_tasks)
+        self._stack.push_async_callback(self._supervisor.close)
         self._servers = [server, http_server]
         if self._tls is not None:
-            self.spawn(self._tls.run(self._apply_tls_contexts))
-        self.spawn(detector.run())
+            tls = self._tls
+            self.supervise("tls files", lambda: tls.run(self._apply_tls_contexts))
+        self.supervise("failure detector", detector.run)
         if self._settings.instance_list_url is not None:
             url = f"{self._settings.instance_list_url}/instances"
-            self.spawn(InstanceListPoller(url, self.view, self._clock).run())
+            poller = InstanceListPoller(url, self.view, self._clock)
+            self.supervise("instance list", poller.run)
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run work in a background task; close cancels it, and an exception is logged."""
@@ -174,6 +181,10 @@
         task.add_done_callback(self._handle_task_done)
         return task
 
+    def supervise(self, name: str, work: Callable[[], Awaitable[Any]]) -> None:
+        """Run work in a background task that is started again when it fails."""
+        self._supervisor.start(name, work)
+
     def start_draining(self) -> None:
         """Set the state to draining, which heartbeats and /healthz report."""
         self._state = DRAINING
@@ -198,6 +209,9 @@
         if not task.cancelled() and task.exception() is not None:
             self._log.opt(exception=task.exception()).error("background task failed")
 
+    def _count_task_failure(self, name: str) -> None:
+        self.metrics.count("jayvalve_task_failures_total", task=name)
+
     async def _cancel_tasks(self) -> None:
         tasks = list(self._tasks)
         for task in tasks:
--- a/src/jayvalve/internal/sidecar/app.py
+++ b/src/jayvalve/internal/sidecar/app.py
@@ -100,10 +100,10 @@
         await self._runtime.open(self._application(), source, self._sync.observe)
         self._stack.push_async_callback(self._runtime.close)
         self._configuration.subscribe(self._on_configuration)
-        self._runtime.spawn(self._gate.run())
-        self._runtime.spawn(self._memory.run())
+        self._runtime.supervise("call queue", self._gate.run)
+        self._runtime.supervise("memory release", self._memory.run)
         if self._log_client is not None:
-            self._runtime.spawn(self._configuration.run())
+            self._runtime.supervise("configuration", self._configuration.run)
         return f"sidecar {self._settings.instance} ready on {self._runtime.identity.address}"
 
     async def drain(self) -> None:
--- a/src/jayvalve/internal/transport/connection.py
+++ b/src/jayvalve/internal/transport/connection.py
@@ -3,11 +3,13 @@
 import asyncio
 import contextlib
 import itertools
+import socket
 import ssl
 from collections.abc import AsyncIterator, Awaitable
 from typing import Any
 
 from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import DefaultLoopResolver, is_valid_ip
 from tornado.tcpclient import TCPClient
 
 from jayvalve.errors import (
@@ -34,6 +36,22 @@
 SILENCE_TIMEOUT_S = 1.5
 
 
+class _AddressResolver(DefaultLoopResolver):
+    """Resolver that returns IP addresses at once.
+
+    The default resolver looks addresses up in a thread as well, which takes longer than the whole
+    timeout on a busy machine.
+    """
+
+    async def resolve(
+        self, host: str, port: int, family: socket.AddressFamily = socket.AF_UNSPEC
+    ) -> list[tuple[int, Any]]:
+        if is_valid_ip(host):
+            kind = socket.AF_INET6 if ":" in host else socket.AF_INET
+            return [(kind, (host, port))]
+        return await super().resolve(host, port, family)
+
+
 class PeerConnection:
     """Sends requests to one process and matches the replies by request id.
 
@@ -72,7 +90,7 @@
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                stream = await TCPClient().connect(
+                stream = await TCPClient(resolver=_AddressResolver()).connect(
                     host, int(port), ssl_options=ssl_options, max_buffer_size=2 * MAX_FRAME_BYTES
                 )
                 stream.set_nodelay(True)
--- a/tests/cover/test_gateway_storage.py
+++ b/tests/cover/test_gateway_storage.py
@@ -108,6 +108,19 @@
         deadline = Deadline.after(Clock(), seconds)
         return storage.append("topic", 0, [b"record"], deadline, call_timeout_s)
 
+    def test_a_call_that_fails_on_the_last_path_marks_the_store_as_away(self):
+        """Guards against refusals whose log does not show the outage that caused them."""
+
+        async def run():
+            storage = self.storage(FakeStore("silent"))
+            try:
+                await self.append(storage, call_timeout_s=SETTINGS.silence_timeout_s + 0.05)
+            except UnavailableError:
+                return storage.available
+            return None
+
+        self.assertIs(False, self.run_async(run()))
+
     def test_repeats_a_call_whose_answer_was_lost(self):
         """Guards against requests that wait for an answer that never arrives."""
 
--- a/tests/cover/test_ports.py
+++ b/tests/cover/test_ports.py
@@ -7,7 +7,8 @@
 
 from testtools import TestCase
 
-from tests.ports import BLOCK_SIZE, HOST, free_port
+from jayvalve.deployments.processes import PORT_RANGE
+from tests.ports import BLOCK_SIZE, FIRST_PORT, HOST, MAX_BLOCKS, free_port
 
 KERNEL_RANGE = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
 
@@ -23,6 +24,13 @@
         first = int(KERNEL_RANGE.read_text(encoding="ascii").split()[0])
         self.assertLess(free_port(), first)
 
+    def test_ports_of_deployments_are_others(self):
+        """Guards against a deployment that binds a port which a test has chosen for a process."""
+        first, end = PORT_RANGE
+        self.assertFalse(
+            set(range(first, end)) & set(range(FIRST_PORT, FIRST_PORT + MAX_BLOCKS * BLOCK_SIZE))
+        )
+
     def test_ports_differ(self):
         ports = [free_port() for _ in range(10)]
         self.assertEqual(len(ports), len(set(ports)))
--- a/tests/cover/test_transport.py
+++ b/tests/cover/test_transport.py
@@ -133,6 +133,24 @@
 
         self.assertEqual(["chunk"] * 3 + ["completed"], self.run_async(scenario()))
 
+    def test_an_ip_address_is_not_looked_up(self):
+        """Guards against connections that fail because a thread for the look-up starts late."""
+
+        async def scenario():
+            server, address = await start_server()
+            pool = PeerPool(hello("client"), Clock())
+
+            async def look_up(*arguments, **options):
+                raise OSError("no thread is free")
+
+            asyncio.get_running_loop().getaddrinfo = look_up
+            replies = [reply.kind async for reply in pool.stream(address, Resume("a", 0), 5.0)]
+            await pool.close()
+            await server.close()
+            return replies
+
+        self.assertEqual(["chunk"] * 3 + ["completed"], self.run_async(scenario()))
+
     def test_reported_error_keeps_code_verdict_and_retry_delay(self):
         """Guards against errors that lose code, verdict or retry delay between processes."""
 
--- a/tests/scenarios/expectations.py
+++ b/tests/scenarios/expectations.py
@@ -8,7 +8,7 @@
 from tornado.httpclient import HTTPError
 
 from jayvalve.standins.answers import answer_tokens
-from tests.scenarios.caller import Request
+from tests.scenarios.caller import Request, fetch_json
 from tests.scenarios.world import World
 
 __all__ = ["EXPECTATIONS", "check_changes"]
@@ -101,6 +101,16 @@
     assert await world.count_memory_tokens(program), f"no engine holds memory of {program}"
 
 
+@_expectation
+async def expect_programs(world: World, entry: str, count: int, seconds: float) -> None:
+    """Check that an entry owns a number of programs within a time."""
+    url = f"{world.deployment.url(world.resolve(entry))}/status"
+    end_s = time.monotonic() + seconds
+    while (owned := (await fetch_json(url))["programs"]) != count:
+        assert time.monotonic() < end_s, f"{entry} owns {owned} programs, expected {count}"
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
 @_expectation
 async def expect_calls(world: World, program: str, count: int) -> None:
     """Check the number of calls that the owner has charged to the budget of a program."""
