Relay calls only through gateways that reach the store; bound the pieces of a turn

Cause 1: a gateway that is cut off from the store relays its calls through peers at random. Load messages now say whether their sender reaches the store.

Cause 2: a record that claims to be one of 2**62 pieces of a turn kept the event loop busy without end. Found by the new fuzz test, which hung; the number of pieces is bounded.

--- a/src/jayvalve/internal/gateway/loads.py
+++ b/src/jayvalve/internal/gateway/loads.py
@@ -50,6 +50,7 @@
     sequence: int
     running: dict[str, tuple[int, int]]
     address: Address
+    reaches_store: bool
 
 
 class PeerLoads:
@@ -77,13 +78,30 @@
         cutoff_s = self._clock.now() - self._settings.peer_ttl_s
         return {peer.address for peer in self._peers.values() if peer.received_s >= cutoff_s}
 
+    def addresses_without_store(self) -> set[Address]:
+        """Return the addresses of the live gateways that report that they do not reach the store.
+
+        Calls to the store that are sent through one of them are refused.
+        """
+        cutoff_s = self._clock.now() - self._settings.stale_s
+        return {
+            peer.address
+            for peer in self._peers.values()
+            if not peer.reaches_store and peer.received_s >= cutoff_s
+        }
+
     def running(self, engine_id: str) -> tuple[int, int]:
         """Return the number of requests of other gateways at an engine, and of their tokens."""
         self._drop_stale()
         return self._totals.get(engine_id, (0, 0))
 
     def receive(
-        self, sender: str, sequence: int, running: dict[str, tuple[int, int]], address: Address
+        self,
+        sender: str,
+        sequence: int,
+        running: dict[str, tuple[int, int]],
+        address: Address,
+        reaches_store: bool = True,
     ) -> None:
         """Record the loads of a message; messages that arrive out of order are ignored.
 
@@ -97,7 +115,7 @@
         loads = {engine_id: (int(count), int(size)) for engine_id, (count, size) in running.items()}
         if previous is not None:
             self._add(previous.running, -1)
-        self._peers[sender] = _PeerLoad(self._clock.now(), sequence, loads, address)
+        self._peers[sender] = _PeerLoad(self._clock.now(), sequence, loads, address, reaches_store)
         self._peers.move_to_end(sender)
         self._add(loads, 1)
 
--- a/src/jayvalve/internal/gateway/peers.py
+++ b/src/jayvalve/internal/gateway/peers.py
@@ -95,6 +95,7 @@
         running: Returns this gateway's requests and their tokens by engine.
         health: Receives the other gateways' reports of failing engines and supplies this one's.
         addresses: Returns the other gateways' addresses for calls.
+        reaches_store: Returns whether this gateway reaches the store directly.
 
     """
 
@@ -111,6 +112,7 @@
         health: HealthTracker,
         data_centre: str,
         addresses: Callable[[], Iterable[Address]],
+        reaches_store: Callable[[], bool] = lambda: True,
     ) -> None:
         self._name = name
         self._loads = loads
@@ -120,8 +122,9 @@
         self._health = health
         self._data_centre = data_centre
         self._addresses = addresses
+        self._reaches_store = reaches_store
         self._sequence = 0
-        self._current_loads: dict[str, tuple[int, int]] = {}
+        self._current_state: tuple[dict[str, tuple[int, int]], bool] = ({}, True)
         self._version = 0
         self._last_messages: dict[Address, _LastMessage] = {}
         self._socket: Any = None
@@ -179,6 +182,7 @@
         sequence: int,
         running: dict[str, tuple[int, int]],
         counts: dict[str, tuple[float, float]],
+        reaches_store: bool = True,
     ) -> None:
         if type(sequence) is not int or not isinstance(sender, str):
             raise ValueError(f"{sender!r}, {sequence!r} do not identify a message")
@@ -193,7 +197,7 @@
             for engine, (failed, succeeded) in counts.items()
         }
         call_address = (address[0], address[1] - self.PORT_OFFSET)
-        self._loads.receive(sender, sequence, loads, call_address)
+        self._loads.receive(sender, sequence, loads, call_address, reaches_store is not False)
         self._health.receive(sender, str(data_centre), failures)
 
     def notify_change(self) -> None:
@@ -222,8 +226,9 @@
         """Send the loads to the gateways that are due; return the seconds until the next round."""
         running = {name: load for name, load in self._running().items() if load[0]}
         counts = self._health.report()
-        if running != self._current_loads:
-            self._current_loads = running
+        reaches_store = self._reaches_store()
+        if (running, reaches_store) != self._current_state:
+            self._current_state = (running, reaches_store)
             self._version += 1
         settings = self._settings
         now = self._clock.now()
@@ -246,7 +251,8 @@
         chosen = due[: settings.fan_out]
         if chosen:
             self._sequence += 1
-            data = msgpack.packb([self._name, self._data_centre, self._sequence, running, counts])
+            message = [self._name, self._data_centre, self._sequence, running, counts]
+            data = msgpack.packb([*message, reaches_store])
             for address in chosen:
                 last_messages[address] = _LastMessage(now, self._version)
                 with contextlib.suppress(OSError):
--- a/src/jayvalve/internal/gateway/store_paths.py
+++ b/src/jayvalve/internal/gateway/store_paths.py
@@ -103,7 +103,13 @@
 
 
 class StorePaths(Generic[C]):
-    """Chooses the path of each call."""
+    """Chooses the path of each call.
+
+    Args:
+        peers: Returns the addresses of the gateways through which a call may be sent.
+        on_direct_change: Called when the direct path goes out of use or comes back.
+
+    """
 
     def __init__(
         self,
@@ -113,7 +119,9 @@
         clock: Clock,
         settings: PathSettings,
         rng: random.Random,
+        on_direct_change: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_direct_change = on_direct_change
         self._direct = StorePath("direct", direct)
         self._connect = connect
         self._peers = peers
@@ -156,6 +164,7 @@
             _log.bind(path=path.name, away_s=round(outage_s, 3)).info(
                 "path to the store works again"
             )
+            self._report_change(path)
 
     def record_answer(self, client: C) -> None:
         """Record an answer to a call that other code made with the client of a path.
@@ -189,6 +198,11 @@
         ):
             path.failing_since_s = now
             _log.bind(path=path.name, reason=reason).warning("path to the store is out of use")
+            self._report_change(path)
+
+    def _report_change(self, path: StorePath[C]) -> None:
+        if path is self._direct:
+            self._on_direct_change()
 
     def _usable_relays(self) -> list[StorePath[C]]:
         cutoff_s = self._clock.now() - self._settings.retry_delay_s
--- a/src/jayvalve/internal/gateway/turns.py
+++ b/src/jayvalve/internal/gateway/turns.py
@@ -22,6 +22,9 @@
 PARTITION_CHOICES = 2
 # The store writes the length of each record before it.
 RECORD_HEADER_BYTES = 4
+# Maximum number of records of one turn. A larger number in a malformed record would keep the event
+# loop busy with looking for them.
+MAX_PIECES = 1024
 
 
 class UnknownTurnError(Exception):
@@ -311,6 +314,8 @@
     """Return the turns that a record completes; ``parts`` collects turns split over records."""
     try:
         turn_id, index, count, piece = msgpack.unpackb(record)
+        if count > MAX_PIECES:
+            raise ValueError(f"a turn of {count} records; at most {MAX_PIECES} are valid")
         if count > 1:
             parts[turn_id, index] = piece
             pieces = [parts.get((turn_id, position)) for position in range(count)]
--- a/src/jayvalve/platform/process.py
+++ b/src/jayvalve/platform/process.py
@@ -209,10 +209,11 @@
         self._paths: StorePaths[Any] = StorePaths(
             store_client,
             lambda address: StoreClient(address, self._store_pool),
-            self._live_peers,
+            self._relay_peers,
             clock,
             PathSettings(),
             self._rng,
+            lambda: self._exchange.notify_change(),
         )
         self._storage = Storage(
             self._paths,
@@ -257,6 +258,7 @@
             self._health,
             settings.data_centre,
             self._addresses.values,
+            lambda: self._paths.direct_usable,
         )
         self._service = GatewayService(
             self._sender,
@@ -397,6 +399,11 @@
         registered = list(self._addresses.values())
         return [address for address in registered if address in live] or registered or list(live)
 
+    def _relay_peers(self) -> list[tuple[str, int]]:
+        """Return the addresses of the gateways that may reach the store for this one."""
+        without_store = self._loads.addresses_without_store()
+        return [address for address in self._live_peers() if address not in without_store]
+
     def _peer_clients(self) -> list[StoreClient]:
         """Return clients of the other gateways in random order."""
         addresses = self._live_peers()
--- a/tests/cover/test_gateway_malformed.py
+++ b/tests/cover/test_gateway_malformed.py
@@ -168,6 +168,9 @@
         """Guards against a chain or a list of gateways that one record makes unreadable."""
         for record in (data, msgpack.packb(value), msgpack.packb(["t", 0, 1, value])):
             self.assertEqual([], decode_turns(record, {}))
+        # Such a count once kept a gateway busy without end.
+        endless = msgpack.packb(["t", 0, 2**62, b"text"])
+        self.assertEqual([], decode_turns(endless, {}))
         for record in (data, json.dumps({"peer": ["h", 10**400]}).encode(), DEEPLY_NESTED):
             self.assertIsNone(PeerRegister.decode(record))
 
--- a/tests/cover/test_gateway_peers.py
+++ b/tests/cover/test_gateway_peers.py
@@ -106,6 +106,53 @@
             ]
             self.assertLess(max(gaps), PeerSettings().stale_s)
 
+    def test_gateways_learn_at_once_which_others_lost_the_store(self):
+        """Guards against calls that are relayed through a gateway that is cut off as well."""
+
+        async def work(loop):
+            clock = LoopClock(loop)
+            reaches_store = [True]
+            sender = LoadExchange(
+                "cut-off",
+                PeerLoads(clock, PeerSettings()),
+                clock,
+                PeerSettings(),
+                dict,
+                HealthTracker(clock, HealthSettings(), "dc"),
+                "dc",
+                lambda: [("10.0.0.1", 7380)],
+                lambda: reaches_store[0],
+            )
+            loads = PeerLoads(clock, PeerSettings())
+            receiver = LoadExchange(
+                "own",
+                loads,
+                clock,
+                PeerSettings(),
+                dict,
+                HealthTracker(clock, HealthSettings(), "dc"),
+                "dc",
+                lambda: [],
+            )
+            fake_socket, sending_socket = FakeSocket(clock), FakeSocket(clock)
+            sending_socket.sendto = lambda data, address: fake_socket.waiting.append(
+                (data, ("10.0.0.2", 7381))
+            )
+            receiver.set_socket(fake_socket)
+            sender.set_socket(sending_socket)
+            task = asyncio.ensure_future(sender.run())
+            seen = []
+            for usable in (True, False, True):
+                reaches_store[0] = usable
+                sender.notify_change()
+                await asyncio.sleep(0.15)
+                receiver.receive()
+                seen.append(loads.addresses_without_store())
+            task.cancel()
+            return seen
+
+        self.assertEqual([set(), {("10.0.0.2", 7380)}, set()], run_virtual(work))
+
     def test_receive_processes_waiting_messages_and_skips_malformed_ones(self):
         """Guards against choosing an engine by old loads after a malformed message."""
 
--- a/tests/cover/test_gateway_storage.py
+++ b/tests/cover/test_gateway_storage.py
@@ -337,6 +337,34 @@
 
         self.run_async(run())
 
+    def test_calls_are_relayed_only_through_gateways_that_reach_the_store(self):
+        """Guards against an outage at a third of the machines that some see as a whole one.
+
+        Three of a dozen gateways that are cut off refused a call by chance, and the caller
+        then waited for the next probe.
+        """
+
+        async def run():
+            relays = {("peer", number): FakeStore("refuse") for number in range(12)}
+            relays["peer", 12] = FakeStore()
+            reaching = [("peer", 12)]
+            clock = Clock()
+            paths = StorePaths(
+                FakeStore("refuse"),
+                relays.__getitem__,
+                lambda: reaching,
+                clock,
+                PathSettings(),
+                random.Random(1),
+            )
+            storage = Storage(paths, clock, SETTINGS, random.Random(1), probe)
+            for _ in range(20):
+                await self.append(storage)
+            self.assertTrue(storage.available)
+            self.assertEqual(0, sum(relays["peer", number].calls for number in range(12)))
+
+        self.run_async(run())
+
     def test_an_outage_is_not_answered_with_a_flood_of_relayed_calls(self):
         """Guards against a fleet in which each call is relayed through every other gateway."""
 
