Answer requests that have begun to arrive when a planned stop closes idle connections

Cause: a planned stop closed each connection on which no whole head had arrived. A request that was partly read, or waited in the socket, was cut off without an answer.

Change: connections with unread bytes stay open.

--- a/src/jayvalve/internal/gateway/frontend.py
+++ b/src/jayvalve/internal/gateway/frontend.py
@@ -1,6 +1,7 @@
 """HTTP server for callers."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -13,7 +14,7 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 
 from jayvalve.internal.gateway.calls import CallerRequest
@@ -121,6 +122,20 @@
         self._frontend.mark_idle(self._connection)
 
 
+def _has_unread_bytes(stream: IOStream) -> bool:
+    """Return whether a part of a request waits in this process or in the socket."""
+    if stream.closed() or stream.socket is None:
+        return False
+    # The public interface of the library does not show the bytes that it has buffered.
+    if stream._read_buffer_size:
+        return True
+    try:
+        return bool(stream.socket.recv(1, socket.MSG_PEEK))
+    except OSError:
+        # BlockingIOError: nothing has arrived. Other errors: the connection has ended.
+        return False
+
+
 class Frontend(HTTPServerConnectionDelegate):
     """Accepts connections of callers and runs a task for each request."""
 
@@ -206,10 +221,11 @@
         self._server.conn_params.no_keep_alive = True
 
     def close_idle(self) -> None:
-        """Close the connections on which no request is being served."""
+        """Close the connections on which no request is being served or has begun to arrive."""
         busy = {connection.owner for connection in self._busy}
         for server_conn in list(self._connections - busy):
-            server_conn.stream.close()
+            if not _has_unread_bytes(server_conn.stream):
+                server_conn.stream.close()
 
     def close_when_sent(self, connection: Any) -> None:
         """Close a connection once its answer has been sent."""
