Test slow and stalled streams, and the copies that a restarted gateway takes

A stream with an event every 0.3 s is delivered whole; one that sends a byte of a comment every 0.05 s and no event ends at the caller's limit. No fault was found here. A gateway that starts while the store is away takes the newest of the copies it gets.

--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -1,5 +1,6 @@
 """The adapter decodes the platform's headers, records and settings, and refuses malformed ones."""
 
+import base64
 import json
 import random
 
@@ -20,6 +21,7 @@
 from jayvalve.internal.timing import Clock, Deadline
 from jayvalve.platform.headers import PlatformHeaders
 from jayvalve.platform.records import decode_configuration, decode_engine
+from jayvalve.platform.relay import PeerCopy
 from jayvalve.platform.settings import PlatformSettings
 from jayvalve.platform.store import StoreClient, decode_keyed, encode_keyed
 from jayvalve.platform.topics import KeyedTopic
@@ -254,6 +256,30 @@
 
         self.run_with_store(scenario)
 
+    def test_a_start_uses_the_newest_copy_of_the_other_gateways(self):
+        """Guards against an engine that left being used again after a restart without the store.
+
+        The first gateway asked was cut off before the engine left.
+        """
+
+        class Peer:
+            def __init__(self, values, following):
+                encoded = {key: base64.b64encode(value).decode() for key, value in values.items()}
+                self.body = json.dumps({"values": encoded, "next": following}).encode()
+
+            async def forward(self, method, target, body, timeout_s):
+                return 200, self.body
+
+        async def run():
+            outdated = Peer({"left": b"x", "stays": b"y"}, 4)
+            malformed = Peer({}, 0)
+            malformed.body = b'{"values": {"left": 3}, "next": 9}'
+            newest = Peer({"stays": b"y"}, 7)
+            copy = PeerCopy(lambda: [outdated, malformed, newest], "keyed.servers")
+            return await copy.snapshot(1.0)
+
+        self.assertEqual(({"stays": b"y"}, 7), self.run_async(run()))
+
     def test_a_page_holds_at_least_one_record(self):
         """Guards against a turn longer than the limit of a page, which would never be read."""
 
--- a/tests/slow/test_gateway_process.py
+++ b/tests/slow/test_gateway_process.py
@@ -1,10 +1,12 @@
 """Gateways with stand-ins for the platform, as callers and engines see them."""
 
 import asyncio
+import contextlib
 import json
 
 from jayvalve.standins.faults import FaultMode
-from tests.platform_support import Deployment, configuration, request
+from tests.platform_support import HOST, Deployment, configuration, request
+from tests.ports import free_port
 from tests.support import AsyncTestCase
 
 # Time within which the platform requires a restarted gateway to serve requests.
@@ -330,6 +332,58 @@
 
         self.run_scenario(scenario)
 
+    def test_a_slow_stream_is_delivered_and_a_stalled_one_ends_at_its_limit(self):
+        """Guards against bounds that take a slow stream for a stalled one, or the reverse.
+
+        The slow stream sends an event every 0.3 s. The stalled one sends a byte of a comment every
+        0.05 s and no event.
+        """
+
+        async def trickle(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nX-Jayvalve-Attempt-Id: t2\r\n"
+                b"X-Jayvalve-Server-Signature: x\r\nContent-Type: text/event-stream\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n"
+            )
+            with contextlib.suppress(ConnectionError):
+                for _ in range(400):
+                    writer.write(b"1\r\n:\r\n")
+                    await writer.drain()
+                    await asyncio.sleep(0.05)
+
+        async def scenario(deployment):
+            engine = deployment.engines["model-0"]
+            engine.settings = engine.settings.__class__(id="model-0", work_ms=300.0, events=5)
+            slow = await deployment.call("/advice/", attempt="t1", body=b"x")
+            self.assertEqual((200, True, 5), (slow.status, slow.whole, slow.body.count(b"data: ")))
+            server = await asyncio.start_server(trickle, HOST, free_port())
+            address = server.sockets[0].getsockname()
+            entry = engine.entry("models", f"{address[0]}:{address[1]}")
+            deployment.store.put("keyed.servers", "model-1", entry)
+            deployment.store.put("keyed.servers", "model-0", None)
+            async with asyncio.timeout(5.0):
+                while (
+                    "model-1"
+                    not in {
+                        view.key.id
+                        for view in deployment.gateways[0]._directory.candidates("models")
+                    }
+                    or deployment.gateways[0].known_engines > 2
+                ):
+                    await asyncio.sleep(0.05)
+            started_s = asyncio.get_running_loop().time()
+            stalled = await deployment.call(
+                "/advice/", attempt="t2", body=b"x", headers={"X-Jayvalve-Deadline-Ms": "1000"}
+            )
+            elapsed_s = asyncio.get_running_loop().time() - started_s
+            self.assertFalse(stalled.whole)
+            self.assertGreater(elapsed_s, 0.9)
+            self.assertLess(elapsed_s, 2.0)
+            server.close()
+
+        self.run_scenario(scenario)
+
     def test_a_planned_stop_cuts_off_no_request(self):
         """Guards against a stop that cuts off calls, and against one that never ends."""
 
