Continue a turn from its writer's memory while its partition cannot be read

Cause: while a part of the store is away, a turn whose predecessors lie in that part could be continued only at the gateway that had stored them; every other one answered 503 after its wait.

Change: a location names the gateway that stored the turn. When the record cannot be read there, that gateway is asked for it. It answers only with turns that the store has acknowledged. The test fails without the change: LogUnavailableError.

--- a/src/jayvalve/internal/gateway/turn_locations.py
+++ b/src/jayvalve/internal/gateway/turn_locations.py
@@ -8,7 +8,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import attrs
@@ -16,12 +16,15 @@
 
 from jayvalve.internal.gateway.peer_calls import PeerCalls, PeerTimeoutError
 from jayvalve.internal.hashing import rendezvous_order
+from jayvalve.internal.malformed import MALFORMED_ERRORS, checked_address
 
-__all__ = ["LocationSettings", "TurnLocation", "TurnLocations"]
+__all__ = ["LocationSettings", "TurnFetcher", "TurnLocation", "TurnLocations"]
 
 _log = logger.bind(part="turn_locations")
 
 Address = tuple[str, int]
+# Returns the records of a turn that a gateway has in memory, or None.
+TurnFetcher = Callable[[Address, str, float], Awaitable[list[bytes] | None]]
 
 _STORED = "turn_stored"
 _LOCATE = "turn_locate"
@@ -35,25 +38,30 @@
         choice: Which of the turn's partitions, as in PartitionMap.of.
         offset: Offset of the turn's first record.
         size: Total size of the turn's records, in bytes.
+        writer: Address of the gateway that stored the turn and may still have it in memory, or
+            None if unknown.
 
     """
 
     choice: int
     offset: int
     size: int
+    writer: Address | None = None
 
     @classmethod
     def from_message(cls, fields: Any) -> "TurnLocation":
         """Build from the fields of a message or a record.
 
         Raises:
-            ValueError: the fields are not three whole numbers of 0 or more.
+            ValueError: the fields are not three whole numbers of 0 or more and an address.
 
         """
-        valid = isinstance(fields, list | tuple) and len(fields) == 3
-        if not valid or any(type(field) is not int or field < 0 for field in fields):
+        valid = isinstance(fields, list | tuple) and len(fields) in (3, 4)
+        if not valid or any(type(field) is not int or field < 0 for field in fields[:3]):
             raise ValueError(f"{fields!r} is not the choice, offset and size of a turn")
-        return cls(*fields)
+        choice, offset, size, *rest = fields
+        writer = checked_address(*rest[0]) if rest and rest[0] else None
+        return cls(choice, offset, size, writer)
 
 
 @attrs.frozen
@@ -112,7 +120,14 @@
         return self._known.get(turn_id)
 
     def publish(self, turn_id: str, location: TurnLocation) -> None:
-        """Keep the location of a turn that was just stored, and send it to the turn's homes."""
+        """Keep the location of a turn that was just stored, and send it to the turn's homes.
+
+        Args:
+            turn_id: Id of the turn.
+            location: Its location; this gateway is entered as the writer.
+
+        """
+        location = attrs.evolve(location, writer=self._own_address)
         self.remember(turn_id, location)
         for home in self._homes(turn_id):
             if home != self._own_address:
@@ -136,7 +151,7 @@
         try:
             answer = await self._calls.call(home, _LOCATE, [turn_id], self._settings.timeout_s)
             return TurnLocation.from_message(answer) if answer else None
-        except (PeerTimeoutError, ValueError) as error:
+        except (PeerTimeoutError, *MALFORMED_ERRORS) as error:
             _log.bind(turn=turn_id, error=str(error)).info("a home did not return a location")
             return None
 
--- a/src/jayvalve/internal/gateway/turns.py
+++ b/src/jayvalve/internal/gateway/turns.py
@@ -1,6 +1,7 @@
 """Storage of turns, so that a later turn needs to send only its new input."""
 
 from collections import OrderedDict
+from collections.abc import Iterable
 
 import attrs
 import msgpack
@@ -9,7 +10,11 @@
 from jayvalve.errors import UnavailableError
 from jayvalve.internal.gateway.partitions import Partition, PartitionMap
 from jayvalve.internal.gateway.storage import Storage
-from jayvalve.internal.gateway.turn_locations import TurnLocation, TurnLocations
+from jayvalve.internal.gateway.turn_locations import (
+    TurnFetcher,
+    TurnLocation,
+    TurnLocations,
+)
 from jayvalve.internal.malformed import MALFORMED_ERRORS
 from jayvalve.internal.timing import Deadline
 
@@ -67,6 +72,7 @@
         record_bytes: Maximum size of a record of the store.
         page_bytes: Maximum size of one read while a partition is searched. A larger one takes so
             long on a slow link that its answer seems lost and is requested again.
+        fetch_timeout_s: Maximum time to wait for a turn from another gateway's memory, in seconds.
         partition_timeout_s: Time after which another partition is tried, as an outage may affect
             only some partitions.
 
@@ -76,6 +82,7 @@
     inline_bytes: int = 48 * 1024
     record_bytes: int = 262_144
     page_bytes: int = 128 * 1024
+    fetch_timeout_s: float = 0.5
     partition_timeout_s: float = 0.4
 
 
@@ -87,6 +94,7 @@
         partitions: Distribution of the turns.
         settings: Limits.
         locations: Locations that the gateways tell each other, or None to search every turn.
+        fetch: Reads a turn from the memory of the gateway that stored it, or None.
 
     """
 
@@ -96,7 +104,9 @@
         partitions: PartitionMap,
         settings: TurnSettings,
         locations: TurnLocations | None = None,
+        fetch: TurnFetcher | None = None,
     ) -> None:
+        self._fetch = fetch
         self._storage = storage
         self._partitions = partitions
         self._settings = settings
@@ -185,6 +195,8 @@
             location = await self._locations.find(turn_id)
         if location is not None:
             found = await self._read_at(turn_id, location, deadline)
+            if found is None:
+                found = await self._fetch_from_writer(turn_id, location, deadline)
             if found is not None:
                 return self._cache_turns(found)
         unreadable = []
@@ -226,13 +238,31 @@
         except UnavailableError:
             # The storage has logged the refusal; the search waits until the partition answers.
             return None
-        parts: dict[tuple[str, int], bytes] = {}
-        for record in page.records:
-            turns = decode_turns(record, parts)
-            if turns and turns[0].id == turn_id:
-                return turns
-        _log.bind(turn=turn_id, offset=location.offset).info("no turn at its location; searching")
-        return None
+        found = _pick_turn(turn_id, page.records)
+        if found is None:
+            _log.bind(turn=turn_id, offset=location.offset).info("no turn at its location")
+        return found
+
+    async def _fetch_from_writer(
+        self, turn_id: str, location: TurnLocation, deadline: Deadline
+    ) -> list[Turn] | None:
+        """Return a turn from the memory of its writer, while its partition cannot be read.
+
+        A gateway keeps only turns that the store has acknowledged, so such a turn is not lost if
+        all gateways die.
+        """
+        if self._fetch is None or location.writer is None:
+            return None
+        timeout_s = min(self._settings.fetch_timeout_s, deadline.remaining_s)
+        records = await self._fetch(location.writer, turn_id, timeout_s)
+        return None if records is None else _pick_turn(turn_id, records)
+
+    def records_in_memory(self, turn_id: str) -> list[bytes] | None:
+        """Return the records of a turn that is in memory, for another gateway, or None."""
+        turn = self._turns.get(turn_id)
+        if turn is None:
+            return None
+        return encode_turns([turn, *self._inlined_predecessors(turn)], self._settings.record_bytes)
 
     def _cache_turns(self, found: list[Turn]) -> Turn:
         for turn in reversed(found):
@@ -298,6 +328,16 @@
             self._bytes -= oldest.size
 
 
+def _pick_turn(turn_id: str, records: Iterable[bytes]) -> list[Turn] | None:
+    """Return a turn and its predecessors from its records, or None if it is not there."""
+    parts: dict[tuple[str, int], bytes] = {}
+    for record in records:
+        turns = decode_turns(record, parts)
+        if turns and turns[0].id == turn_id:
+            return turns
+    return None
+
+
 def encode_turns(turns: list[Turn], record_bytes: int) -> list[bytes]:
     """Return the records of a turn and the turns before it; a long text needs several records."""
     data = msgpack.packb([attrs.astuple(turn) for turn in turns])
--- a/src/jayvalve/platform/process.py
+++ b/src/jayvalve/platform/process.py
@@ -39,7 +39,7 @@
 from jayvalve.platform import names
 from jayvalve.platform.headers import PlatformHeaders
 from jayvalve.platform.records import decode_configuration, decode_engine
-from jayvalve.platform.relay import PeerCopy, StoreRelay
+from jayvalve.platform.relay import PeerCopy, StoreRelay, fetch_turn_records
 from jayvalve.platform.settings import PlatformSettings, load_platform_settings
 from jayvalve.platform.store import StoreClient
 from jayvalve.platform.topics import KeyedTopic, PeerRegister
@@ -223,7 +223,10 @@
             _probe_store,
         )
         self._relay = StoreRelay(
-            store_client, lambda: self._paths.direct_usable, lambda: self._followers
+            store_client,
+            lambda: self._paths.direct_usable,
+            lambda: self._followers,
+            lambda turn_id: self._turns.records_in_memory(turn_id),
         )
         self._loads = PeerLoads(clock, PeerSettings())
         self._build_budgets()
@@ -234,6 +237,7 @@
             TurnLocations(
                 self._calls, settings.peer, self._loads.live_addresses, LocationSettings()
             ),
+            self._fetch_turn,
         )
         self._directory = EngineDirectory(clock, DirectorySettings())
         self._health = HealthTracker(clock, HealthSettings(), settings.data_centre)
@@ -295,6 +299,12 @@
             BudgetSettings(),
         )
 
+    async def _fetch_turn(
+        self, address: tuple[str, int], turn_id: str, timeout_s: float
+    ) -> list[bytes] | None:
+        client = StoreClient(address, self._store_pool)
+        return await fetch_turn_records(client, turn_id, timeout_s)
+
     def _send_to_peer(self, address: tuple[str, int], message: list[Any]) -> None:
         self._call_socket.send(address, message)
 
--- a/src/jayvalve/platform/relay.py
+++ b/src/jayvalve/platform/relay.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Iterable
 from urllib.parse import urlencode
 
+import msgpack
+from loguru import logger
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
@@ -14,7 +16,9 @@
 from jayvalve.internal.malformed import MALFORMED_ERRORS
 from jayvalve.platform.store import StoreClient
 
-__all__ = ["PeerCopy", "StoreRelay"]
+__all__ = ["PeerCopy", "StoreRelay", "fetch_turn_records"]
+
+_log = logger.bind(part="relay")
 
 # Calls that gateways make to the store. A relay serves them under the same paths as the store.
 RELAYED_PATHS = r"/api/log-(?:append|read|newest|trim)"
@@ -23,6 +27,7 @@
 # if no record arrives in time. The sender may use a shorter timeout.
 RELAY_TIMEOUT_S = 3.0
 COPY_PATH = "/peer/copy"
+TURN_PATH = "/peer/turn"
 
 
 class StoreRelay:
@@ -34,6 +39,7 @@
             refused, because a call must not be relayed twice.
         followers: Returns the followers by topic. Their copies are served to gateways that
             are starting.
+        turn_records: Returns the records of a turn that this gateway has in memory, or None.
 
     """
 
@@ -42,6 +48,7 @@
         store: StoreClient,
         store_usable: Callable[[], bool],
         followers: Callable[[], dict[str, KeyedFollower]],
+        turn_records: Callable[[str], list[bytes] | None] = lambda _: None,
     ) -> None:
         class RelayHandler(RequestHandler):
             async def get(self) -> None:
@@ -78,8 +85,21 @@
                 encoded = {key: base64.b64encode(value).decode() for key, value in values.items()}
                 self.finish(json.dumps({"values": encoded, "next": start}))
 
+        class TurnHandler(RequestHandler):
+            def get(self) -> None:
+                records = turn_records(self.get_query_argument("id", ""))
+                if records is None:
+                    self.set_status(404)
+                    return
+                self.set_header("Content-Type", "application/msgpack")
+                self.finish(msgpack.packb(records))
+
         application = Application(
-            [(RELAYED_PATHS, RelayHandler), (COPY_PATH, CopyHandler)],
+            [
+                (RELAYED_PATHS, RelayHandler),
+                (COPY_PATH, CopyHandler),
+                (TURN_PATH, TurnHandler),
+            ],
             log_function=lambda _: None,
         )
         self._server = HTTPServer(application)
@@ -93,6 +113,23 @@
         self._server.stop()
 
 
+async def fetch_turn_records(
+    peer: StoreClient, turn_id: str, timeout_s: float
+) -> list[bytes] | None:
+    """Return the records of a turn from another gateway's memory, or None if it has none."""
+    target = f"{TURN_PATH}?{urlencode({'id': turn_id})}"
+    try:
+        status, body = await peer.forward("GET", target, b"", timeout_s)
+        if status != 200:
+            return None
+        records = msgpack.unpackb(body)
+    except (UnavailableError, msgpack.UnpackException, *MALFORMED_ERRORS) as error:
+        _log.bind(turn=turn_id, error=repr(error)).info("a gateway did not return a turn")
+        return None
+    valid = isinstance(records, list) and all(isinstance(record, bytes) for record in records)
+    return records if valid else None
+
+
 class PeerCopy:
     """Source of one topic's values that asks other gateways for their copies.
 
--- a/tests/cover/test_gateway_turn_locations.py
+++ b/tests/cover/test_gateway_turn_locations.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from jayvalve.errors import LogUnavailableError
 from jayvalve.internal.gateway.partitions import PartitionMap
 from jayvalve.internal.gateway.peer_calls import CallSettings, PeerCalls
 from jayvalve.internal.gateway.turn_locations import (
@@ -28,7 +29,9 @@
         self.clock = LoopClock(loop)
         self.log = MemoryLog()
         self.network = Datagrams(loop, random.Random(7), loss=loss)
-        self.addresses = [("gw", number) for number in range(size)]
+        self.addresses = [(f"10.0.0.{number}", 7000 + number) for number in range(size)]
+        self.fetches = 0
+        self.dead = set()
         self.locations = []
         self.stores = []
         for address in self.addresses:
@@ -36,12 +39,19 @@
                 self.network.transmitter(address), self.clock, CallSettings(), random.Random(1)
             )
             self.network.receivers[address] = calls.receive
+
+            async def fetch(address, turn_id, timeout_s):
+                self.fetches += 1
+                if address in self.dead:
+                    return None
+                return self.stores[address[1] - 7000].records_in_memory(turn_id)
+
             locations = TurnLocations(
                 calls, address, lambda: list(self.addresses), LocationSettings()
             )
             self.locations.append(locations)
             settings = TurnSettings(inline_bytes=2 * TURN_BYTES)
-            self.stores.append(TurnStore(self.log, PARTITIONS, settings, locations))
+            self.stores.append(TurnStore(self.log, PARTITIONS, settings, locations, fetch))
 
     def deadline(self):
         return Deadline.after(self.clock, 3.0)
@@ -106,7 +116,7 @@
             fleet = TurnFleet(loop, 6)
             await fleet.save(0, "t0")
             for address in fleet.addresses:
-                if address != ("gw", 3):
+                if address != ("10.0.0.3", 7003):
                     fleet.network.receivers.pop(address)
             ids, _, _ = await fleet.read_cost(3, "t0")
             self.assertEqual(["t0"], ids)
@@ -136,6 +146,7 @@
             fleet = TurnFleet(loop, 2)
             await fleet.save(0, "other")
             await fleet.save(0, "t0")
+            fleet.dead.add(("10.0.0.0", 7000))
             for location in (TurnLocation(0, 900, 10), TurnLocation(1, 0, 5)):
                 reader = TurnStore(fleet.log, PARTITIONS, TurnSettings(), fleet.locations[1])
                 fleet.locations[1].remember("t0", location)
@@ -144,9 +155,52 @@
 
         run_virtual(run)
 
+    def test_a_turn_is_continued_while_its_partition_cannot_be_read(self):
+        """Guards against chats that stop while a part of the store is away.
+
+        A turn in an unavailable partition was refused at every gateway but the one that had
+        stored it.
+        """
+
+        class Unreadable(MemoryLog):
+            async def read(self, *arguments, **options):
+                raise LogUnavailableError("away")
+
+        async def run(loop):
+            fleet = TurnFleet(loop, 4)
+            previous = None
+            for number in range(6):
+                await fleet.save(1, f"t{number}", previous)
+                previous = f"t{number}"
+            fleet.stores[2]._storage = Unreadable()
+            ids, _, _ = await fleet.read_cost(2, "t5")
+            self.assertEqual([f"t{number}" for number in range(6)], ids)
+            self.assertGreater(fleet.fetches, 0)
+            # Without the writer, it is not known whether the turn is stored.
+            fleet.dead.add(("10.0.0.1", 7001))
+            fleet.stores[3]._storage = Unreadable()
+            try:
+                await fleet.read_cost(3, "t5")
+            except LogUnavailableError:
+                return
+            self.fail("a turn was found that nobody could read")
+
+        run_virtual(run)
+
     def test_malformed_locations_are_refused(self):
         """Guards against reads at positions that are no numbers."""
-        for fields in (None, [], [1, 2], [1, 2, "3"], [0, -1, 3], [True, 1, 1], "abc"):
+        malformed = (
+            None,
+            [],
+            [1, 2],
+            [1, 2, "3"],
+            [0, -1, 3],
+            [True, 1, 1],
+            "abc",
+            [0, 1, 2, ["name.example", 80]],
+            [0, 1, 2, ["10.0.0.1", 70_000]],
+        )
+        for fields in malformed:
             self.assertRaises(ValueError, TurnLocation.from_message, fields)
 
     def test_memory_for_locations_is_bounded(self):
