--- a/tests/cover/test_failures_page.py
+++ b/tests/cover/test_failures_page.py
@@ -40,5 +40,6 @@
                 path = ROOT / "tests" / "scenarios" / f"{module}.scenario"
                 self.assertTrue(path.exists(), name)
                 continue
-            source = (ROOT / "tests" / "cover" / module).read_text(encoding="utf-8")
+            folder = ROOT / "tests" / ("" if module.startswith("slow/") else "cover")
+            source = (folder / module).read_text(encoding="utf-8")
             self.assertIn(f"def {test}(" if test else "Machine", source, name)
