Keep the form of records and load messages for gateways of the earlier release

Cause: found when reading the diff. A fifth field in a turn made a gateway of the earlier release skip the record and answer 404, and a sixth in a load message made it drop the message, so that a rolling upgrade lost turns.

Change: the location of the earlier turn takes the unused index of a single piece; a lost store is reported among the counts of failures.

--- a/src/jayvalve/internal/gateway/peers.py
+++ b/src/jayvalve/internal/gateway/peers.py
@@ -28,6 +28,9 @@
 
 # Maximum payload of a UDP datagram over IPv4.
 _MAX_DATAGRAM_BYTES = 65_507
+# Stands among the ids of engines for the store, which the sender does not reach. Gateways of
+# earlier releases accept no further field in a message.
+_NO_STORE = ""
 
 
 class CallSocket(asyncio.DatagramProtocol):
@@ -182,7 +185,6 @@
         sequence: int,
         running: dict[str, tuple[int, int]],
         counts: dict[str, tuple[float, float]],
-        reaches_store: bool = True,
     ) -> None:
         if type(sequence) is not int or not isinstance(sender, str):
             raise ValueError(f"{sender!r}, {sequence!r} do not identify a message")
@@ -196,8 +198,9 @@
             str(engine): (_finite(failed), _finite(succeeded))
             for engine, (failed, succeeded) in counts.items()
         }
+        reaches_store = failures.pop(_NO_STORE, None) is None
         call_address = (address[0], address[1] - self.PORT_OFFSET)
-        self._loads.receive(sender, sequence, loads, call_address, reaches_store is not False)
+        self._loads.receive(sender, sequence, loads, call_address, reaches_store)
         self._health.receive(sender, str(data_centre), failures)
 
     def notify_change(self) -> None:
@@ -251,8 +254,9 @@
         chosen = due[: settings.fan_out]
         if chosen:
             self._sequence += 1
-            message = [self._name, self._data_centre, self._sequence, running, counts]
-            data = msgpack.packb([*message, reaches_store])
+            if not reaches_store:
+                counts = {**counts, _NO_STORE: (1.0, 0.0)}
+            data = msgpack.packb([self._name, self._data_centre, self._sequence, running, counts])
             for address in chosen:
                 last_messages[address] = _LastMessage(now, self._version)
                 with contextlib.suppress(OSError):
--- a/src/jayvalve/internal/gateway/turns.py
+++ b/src/jayvalve/internal/gateway/turns.py
@@ -43,7 +43,6 @@
     Attributes:
         output: Data of the events, each followed by a line feed.
         previous: Id of the turn that this one continues, or None.
-        previous_location: Location of that turn in the store, or None if unknown.
 
     """
 
@@ -51,7 +50,6 @@
     input: bytes
     output: bytes
     previous: str | None = None
-    previous_location: TurnLocation | None = attrs.field(default=None, eq=False)
 
     @property
     def size(self) -> int:
@@ -126,10 +124,7 @@
             UnavailableError: The turn may not have been stored.
 
         """
-        turn = self._with_previous_location(turn)
-        records = encode_turns(
-            [turn, *self._inlined_predecessors(turn)], self._settings.record_bytes
-        )
+        records = self._encode(turn)
         tries = 0
         # Retries until the deadline, because the caller has already received the whole text, and
         # only the end of the stream waits for the store.
@@ -171,28 +166,20 @@
         """
         chain: list[Turn] = []
         wanted_id: str | None = turn_id
-        location: TurnLocation | None = None
         while wanted_id is not None:
             turn = self._turns.get(wanted_id)
             if turn is None:
-                turn = await self._load(wanted_id, location, deadline)
+                turn = await self._load(wanted_id, deadline)
             else:
                 self._turns.move_to_end(wanted_id)
             chain.append(turn)
-            wanted_id, location = turn.previous, turn.previous_location
+            wanted_id = turn.previous
         chain.reverse()
         return chain
 
-    def _with_previous_location(self, turn: Turn) -> Turn:
-        """Return the turn with the location of the one before it, if this gateway knows it."""
-        if self._locations is None or turn.previous is None:
-            return turn
-        return attrs.evolve(turn, previous_location=self._locations.known(turn.previous))
-
-    async def _load(self, turn_id: str, location: TurnLocation | None, deadline: Deadline) -> Turn:
+    async def _load(self, turn_id: str, deadline: Deadline) -> Turn:
         """Return a turn, read at its location if that is known, or else by a search."""
-        if location is None and self._locations is not None:
-            location = await self._locations.find(turn_id)
+        location = None if self._locations is None else await self._locations.find(turn_id)
         if location is not None:
             found = await self._read_at(turn_id, location, deadline)
             if found is None:
@@ -238,7 +225,7 @@
         except UnavailableError:
             # The storage has logged the refusal; the search waits until the partition answers.
             return None
-        found = _pick_turn(turn_id, page.records)
+        found = self._pick_turn(turn_id, page.records)
         if found is None:
             _log.bind(turn=turn_id, offset=location.offset).info("no turn at its location")
         return found
@@ -255,14 +242,37 @@
             return None
         timeout_s = min(self._settings.fetch_timeout_s, deadline.remaining_s)
         records = await self._fetch(location.writer, turn_id, timeout_s)
-        return None if records is None else _pick_turn(turn_id, records)
+        return None if records is None else self._pick_turn(turn_id, records)
 
     def records_in_memory(self, turn_id: str) -> list[bytes] | None:
         """Return the records of a turn that is in memory, for another gateway, or None."""
         turn = self._turns.get(turn_id)
-        if turn is None:
-            return None
-        return encode_turns([turn, *self._inlined_predecessors(turn)], self._settings.record_bytes)
+        return None if turn is None else self._encode(turn)
+
+    def _encode(self, turn: Turn) -> list[bytes]:
+        """Return the records of a turn, with its predecessors and the location of the next one."""
+        turns = [turn, *self._inlined_predecessors(turn)]
+        earlier_id = turns[-1].previous
+        location = None
+        if self._locations is not None and earlier_id is not None:
+            location = self._locations.known(earlier_id)
+        return encode_turns(turns, self._settings.record_bytes, location)
+
+    def _pick_turn(self, turn_id: str, records: Iterable[bytes]) -> list[Turn] | None:
+        """Return a turn and its predecessors from its records, or None if it is not there."""
+        parts: dict[tuple[str, int], bytes] = {}
+        for record in records:
+            turns = decode_turns(record, parts)
+            if turns and turns[0].id == turn_id:
+                location = decode_earlier_location(record)
+                if location is not None and turns[-1].previous is not None:
+                    self._remember_location(turns[-1].previous, location)
+                return turns
+        return None
+
+    def _remember_location(self, turn_id: str, location: TurnLocation) -> None:
+        if self._locations is not None:
+            self._locations.remember(turn_id, location)
 
     def _cache_turns(self, found: list[Turn]) -> Turn:
         for turn in reversed(found):
@@ -328,21 +338,25 @@
             self._bytes -= oldest.size
 
 
-def _pick_turn(turn_id: str, records: Iterable[bytes]) -> list[Turn] | None:
-    """Return a turn and its predecessors from its records, or None if it is not there."""
-    parts: dict[tuple[str, int], bytes] = {}
-    for record in records:
-        turns = decode_turns(record, parts)
-        if turns and turns[0].id == turn_id:
-            return turns
-    return None
+def encode_turns(
+    turns: list[Turn], record_bytes: int, earlier_location: TurnLocation | None = None
+) -> list[bytes]:
+    """Return the records of a turn and the turns before it; a long text needs several records.
 
+    Args:
+        turns: The turn and turns before it, the newest first.
+        record_bytes: Maximum size of a record.
+        earlier_location: Location of the turn before these, or None if there is none or it is
+            unknown.
 
-def encode_turns(turns: list[Turn], record_bytes: int) -> list[bytes]:
-    """Return the records of a turn and the turns before it; a long text needs several records."""
+    """
     data = msgpack.packb([attrs.astuple(turn) for turn in turns])
     # Leaves 256 bytes for the id, the index, the number of pieces and the encoding.
     size = record_bytes - 256
+    if len(data) <= size:
+        # Readers of earlier releases ignore the index of a single piece, so it holds the location.
+        index = 0 if earlier_location is None else attrs.astuple(earlier_location)
+        return [msgpack.packb([turns[0].id, index, 1, data])]
     pieces = [data[start : start + size] for start in range(0, len(data), size)]
     return [
         msgpack.packb([turns[0].id, index, len(pieces), piece])
@@ -350,6 +364,16 @@
     ]
 
 
+def decode_earlier_location(record: bytes) -> TurnLocation | None:
+    """Return the location of the turn before those of a record, or None if it has none."""
+    try:
+        _, index, count, _ = msgpack.unpackb(record)
+        return TurnLocation.from_message(index) if count == 1 and index else None
+    except (msgpack.UnpackException, *MALFORMED_ERRORS) as error:
+        _log.bind(error=repr(error)).info("ignoring a malformed location")
+        return None
+
+
 def decode_turns(record: bytes, parts: dict[tuple[str, int], bytes]) -> list[Turn]:
     """Return the turns that a record completes; ``parts`` collects turns split over records."""
     try:
@@ -362,21 +386,7 @@
             if None in pieces:
                 return []
             piece = b"".join(pieces)
-        return [_decode_turn(*fields) for fields in msgpack.unpackb(piece)]
+        return [Turn(*fields) for fields in msgpack.unpackb(piece)]
     except (msgpack.UnpackException, *MALFORMED_ERRORS) as error:
         _log.bind(error=repr(error)).warning("skipping a record of turns that cannot be decoded")
         return []
-
-
-def _decode_turn(
-    turn_id: str,
-    input_text: bytes,
-    output: bytes,
-    previous: str | None = None,
-    previous_location: list[int] | None = None,
-) -> Turn:
-    """Return a turn; records of earlier releases have no location of the previous turn."""
-    if previous_location is None:
-        return Turn(turn_id, input_text, output, previous)
-    location = TurnLocation.from_message(previous_location)
-    return Turn(turn_id, input_text, output, previous, location)
--- a/tests/cover/test_gateway_turn_locations.py
+++ b/tests/cover/test_gateway_turn_locations.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+import msgpack
+
 from jayvalve.errors import LogUnavailableError
 from jayvalve.internal.gateway.partitions import PartitionMap
 from jayvalve.internal.gateway.peer_calls import CallSettings, PeerCalls
@@ -11,7 +13,14 @@
     TurnLocation,
     TurnLocations,
 )
-from jayvalve.internal.gateway.turns import Turn, TurnSettings, TurnStore
+from jayvalve.internal.gateway.turns import (
+    Turn,
+    TurnSettings,
+    TurnStore,
+    decode_earlier_location,
+    decode_turns,
+    encode_turns,
+)
 from jayvalve.internal.timing import Deadline
 from tests.fakes_network import LoopClock
 from tests.gateway_fleet import Datagrams, run_virtual
@@ -187,6 +196,22 @@
 
         run_virtual(run)
 
+    def test_records_keep_the_form_of_earlier_releases(self):
+        """Guards against status 404 from a gateway of the earlier release during an upgrade.
+
+        It reads records of four fields with turns of four fields, and ignores the index of a
+        single piece.
+        """
+        turns = [Turn("t1", b"in", b"out", "t0")]
+        (record,) = encode_turns(turns, 1000, TurnLocation(1, 7, 90, ("10.0.0.1", 7000)))
+        turn_id, _, count, piece = msgpack.unpackb(record)
+        self.assertEqual(("t1", 1), (turn_id, count))
+        self.assertEqual([["t1", b"in", b"out", "t0"]], msgpack.unpackb(piece))
+        self.assertEqual(turns, decode_turns(record, {}))
+        self.assertEqual(
+            TurnLocation(1, 7, 90, ("10.0.0.1", 7000)), decode_earlier_location(record)
+        )
+
     def test_malformed_locations_are_refused(self):
         """Guards against reads at positions that are no numbers."""
         malformed = (
