Revert "Prefer the same engines for the same prompt at every gateway"

The model in its test had no eviction from an engine's memory, and no turns that carry the text of earlier ones.

--- a/src/jayvalve/internal/gateway/placement.py
+++ b/src/jayvalve/internal/gateway/placement.py
@@ -64,7 +64,6 @@
 
     Attributes:
         load: Number of requests of all gateways at the engine.
-        cached_tokens: Expected number of the prompt's leading tokens in the engine's memory.
         tokens: Tokens that these requests need in the engine's memory.
         memory_tokens: Memory of the engine in tokens, or None for a service without a model.
         service_s: Average service time in seconds, or None if unknown.
@@ -79,7 +78,7 @@
     load: int
     service_s: float | None
     remote: bool
-    cached_tokens: float = 0
+    cached_tokens: int = 0
     in_backoff: bool = False
     failure_share: float = 0.0
     age_s: float = 0.0
--- a/src/jayvalve/internal/gateway/sender.py
+++ b/src/jayvalve/internal/gateway/sender.py
@@ -34,7 +34,6 @@
     PrefixMemory,
     choose_engine,
 )
-from jayvalve.internal.gateway.prefix_homes import HomeSettings, PrefixHomes
 from jayvalve.internal.gateway.priority import request_priority
 from jayvalve.internal.timing import Clock
 
@@ -115,7 +114,6 @@
         self._settings = SenderSettings()
         self._placement = PlacementSettings()
         self._prefixes = PrefixMemory()
-        self._homes = HomeSettings()
 
     def running(self) -> dict[str, tuple[int, int]]:
         """Return the number of this gateway's requests at each engine, and their tokens."""
@@ -145,7 +143,7 @@
             attempt = AttemptRecord(
                 view.key.id,
                 placement.candidate.load,
-                int(placement.candidate.cached_tokens),
+                placement.candidate.cached_tokens,
                 placement.wait_s,
             )
             history.attempts.append(attempt)
@@ -186,9 +184,7 @@
             if view.key not in history.refused
         }
         untried = {key: view for key, view in views.items() if key not in history.may_have_run}
-        eligible = untried or views
-        homes = PrefixHomes(call.info.prefix, eligible, self._homes)
-        candidates = [self._candidate(view, call, now, homes) for view in eligible.values()]
+        candidates = [self._candidate(view, call, now) for view in (untried or views).values()]
         need = PlacementNeed(
             call.info.prompt_tokens, call.info.max_output_tokens, call.route.repeatable
         )
@@ -202,7 +198,7 @@
             )
         return views[placement.candidate.key], placement
 
-    def _candidate(self, view: EngineView, call: Call, now: float, homes: PrefixHomes) -> Candidate:
+    def _candidate(self, view: EngineView, call: Call, now: float) -> Candidate:
         requests, tokens = self._loads.running(view.key.id)
         model = call.service.model
         return Candidate(
@@ -213,9 +209,7 @@
             memory_tokens=model.kv_cache_tokens if model is not None else None,
             service_s=view.service_s,
             remote=view.record.data_centre != self._data_centre,
-            cached_tokens=homes.expected_tokens(
-                view.key, self._prefixes.cached_tokens(call.info.prefix, view.key)
-            ),
+            cached_tokens=self._prefixes.cached_tokens(call.info.prefix, view.key),
             in_backoff=now < view.backoff_until_s,
             failure_share=self._health.failure_share(view.key.id),
             age_s=now - view.answered_s,
