Go on sending loads to gateways that stopped a short time ago

Cause: a planned stop withdraws the gateway's address, so the others stop sending it their load messages.

The new test of a planned restart during an outage fails without it.

--- a/src/jayvalve/platform/process.py
+++ b/src/jayvalve/platform/process.py
@@ -24,6 +24,7 @@
 from jayvalve.internal.gateway.model import CallerLimits
 from jayvalve.internal.gateway.partitions import PartitionMap
 from jayvalve.internal.gateway.peer_calls import CallSettings, PeerCalls
+from jayvalve.internal.gateway.peer_directory import DirectoryRetention, PeerDirectory
 from jayvalve.internal.gateway.peers import CallSocket, LoadExchange
 from jayvalve.internal.gateway.sender import EngineSender
 from jayvalve.internal.gateway.service import GatewayService
@@ -205,7 +206,7 @@
         self._engine_pool = HttpPool(PoolSettings(), clock)
         store_client = StoreClient(store.address, self._store_pool)
         self._register = PeerRegister(store_client)
-        self._addresses: dict[str, tuple[str, int]] = {}
+        self._peer_directory = PeerDirectory(clock, DirectoryRetention())
         self._paths: StorePaths[Any] = StorePaths(
             store_client,
             lambda address: StoreClient(address, self._store_pool),
@@ -261,7 +262,7 @@
             self._sender.running,
             self._health,
             settings.data_centre,
-            self._addresses.values,
+            lambda: self._peer_directory.message_targets,
             lambda: self._paths.direct_usable,
         )
         self._service = GatewayService(
@@ -380,16 +381,19 @@
         self._directory.apply(key, None if value is None else decode_engine(key, value))
 
     def _replace_peers(self, values: dict[str, bytes]) -> None:
-        self._addresses.clear()
-        for key, value in values.items():
-            self._apply_peer(key, value)
+        decoded = {key: self._decode_peer(key, value) for key, value in values.items()}
+        self._peer_directory.replace_all(
+            {key: address for key, address in decoded.items() if address is not None}
+        )
 
     def _apply_peer(self, key: str, value: bytes | None) -> None:
-        address = None if value is None else self._register.decode(value)
-        if address is None or key == self._settings.instance:
-            self._addresses.pop(key, None)
-        else:
-            self._addresses[key] = address
+        self._peer_directory.apply(key, self._decode_peer(key, value))
+
+    def _decode_peer(self, key: str, value: bytes | None) -> tuple[str, int] | None:
+        """Return the address of another gateway, or None for this one and for none."""
+        if value is None or key == self._settings.instance:
+            return None
+        return self._register.decode(value)
 
     def _topic(self, name: str) -> KeyedTopic:
         # An answer to a follower shows that a path works, even if some partitions are unavailable.
@@ -406,7 +410,7 @@
     def _live_peers(self) -> list[tuple[str, int]]:
         """Return the addresses of other gateways, preferably of those heard from recently."""
         live = self._loads.live_addresses()
-        registered = list(self._addresses.values())
+        registered = self._peer_directory.registered
         return [address for address in registered if address in live] or registered or list(live)
 
     def _relay_peers(self) -> list[tuple[str, int]]:
--- a/tests/slow/test_gateway_process.py
+++ b/tests/slow/test_gateway_process.py
@@ -249,6 +249,31 @@
 
         self.run_scenario(scenario, gateways=2)
 
+    def test_a_gateway_restarted_as_planned_serves_while_the_store_is_away(self):
+        """Guards against a rolling restart that leaves gateways without a configuration.
+
+        A planned stop withdraws the gateway's address. If the store then goes away, the restarted
+        process is not registered and cannot read who else is.
+        """
+
+        async def scenario(deployment):
+            await deployment.gateways[0].drain()
+            # The other gateway reads the withdrawal.
+            await asyncio.sleep(0.5)
+            deployment.store.faults.set({"mode": "down"})
+            await deployment.restart_gateway(0)
+            loop = asyncio.get_running_loop()
+            end_s = loop.time() + RECOVERY_S
+            status, number = 0, 0
+            while status != 200 and loop.time() < end_s:
+                number += 1
+                answer = await deployment.call("/status/", gateway=0, attempt=f"s{number}")
+                status = answer.status
+                await asyncio.sleep(0.1)
+            self.assertEqual(200, status)
+
+        self.run_scenario(scenario, gateways=2)
+
     def test_the_end_of_a_stored_turn_waits_for_the_store(self):
         """Guards against losing the turn of a complete answer.
 
