Give the fault search the supervised tasks and the resolver of the real runtime

Cause: the simulated runtime builds its own attributes and lacked the supervisor, and the simulated client took no resolver, so no process of a schedule started.

--- a/src/jayvalve/internal/measure/faults/network.py
+++ b/src/jayvalve/internal/measure/faults/network.py
@@ -271,6 +271,10 @@
         network = self
 
         class SimulatedTCPClient:
+            def __init__(self, resolver: Any = None) -> None:
+                # Simulated hosts have no names, so nothing is looked up.
+                pass
+
             async def connect(self, host: str, port: int, **options: Any) -> SimulatedStream:
                 return await network.connect(f"{host}:{port}")
 
--- a/src/jayvalve/internal/measure/faults/processes.py
+++ b/src/jayvalve/internal/measure/faults/processes.py
@@ -29,6 +29,7 @@
 from jayvalve.internal.sidecar import app as sidecar_app
 from jayvalve.internal.sidecar.app import SidecarProcess
 from jayvalve.internal.sidecar.release import EngineMemory
+from jayvalve.internal.supervision import SupervisionSettings, TaskSupervisor
 from jayvalve.internal.timing import Clock
 from jayvalve.internal.transport import HandlerTable, PeerPool, PeerServer
 from jayvalve.internal.transport import connection as connection_module
@@ -80,6 +81,9 @@
         self._state = LIVE
         self._stack = contextlib.AsyncExitStack()
         self._tasks = set()
+        self._supervisor = TaskSupervisor(
+            self._clock, SupervisionSettings(), self._count_task_failure
+        )
         self._log = mock.Mock()
         self._peer_sockets, self._http_sockets = [], []
         self._http_address = settings.http_address
@@ -123,8 +127,9 @@
         self._stack.push_async_callback(server.close)
         self._stack.callback(network.close_listener, address, self._host)
         self._stack.push_async_callback(self._cancel_tasks)
-        self.spawn(detector.run())
-        self.spawn(self._poll_instance_list())
+        self._stack.push_async_callback(self._supervisor.close)
+        self.supervise("failure detector", detector.run)
+        self.supervise("instance list", self._poll_instance_list)
 
     async def _poll_instance_list(self) -> None:
         while True:
