--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -14,6 +14,6 @@
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / "src"))
 
-from jayvalve.platform.process import main  # noqa: E402
+from jayvalve.platform.command import main  # noqa: E402
 
 main()
--- a/src/jayvalve/cli.py
+++ b/src/jayvalve/cli.py
@@ -77,7 +77,7 @@
             config: Path of the settings that the platform wrote; by default the path in the
                 environment variable that the platform sets.
         """
-        from jayvalve.platform.process import run_gateway
+        from jayvalve.platform.command import run_gateway
 
         run_gateway(str(config) or None)
 
--- a/src/jayvalve/internal/gateway/peer_directory.py
+++ b/src/jayvalve/internal/gateway/peer_directory.py
@@ -1,6 +1,6 @@
 """Addresses of the other gateways: registered ones, and those that stopped a short time ago."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import attrs
 
@@ -39,9 +39,17 @@
         """Addresses of the gateways that are registered."""
         return list(self._registered.values())
 
-    @property
-    def message_targets(self) -> list[Address]:
-        """Addresses that get load messages: registered ones and those that stopped recently."""
+    def message_targets(self, live: Iterable[Address] = ()) -> list[Address]:
+        """Return the addresses that get load messages.
+
+        Args:
+            live: Gateways heard from recently. One that was restarted while the store is away is
+                not registered, and would hear no others if these did not answer its messages.
+
+        Returns:
+            Registered gateways, those that stopped recently, and live ones.
+
+        """
         now = self._clock.now()
         registered = self.registered
         self._departed_until_s = {
@@ -49,7 +57,9 @@
             for address, until_s in self._departed_until_s.items()
             if until_s > now and address not in registered
         }
-        return [*registered, *self._departed_until_s]
+        known = {*registered, *self._departed_until_s}
+        others = [address for address in live if address not in known]
+        return [*registered, *self._departed_until_s, *others]
 
     def replace_all(self, addresses: Mapping[str, Address]) -> None:
         """Replace the registered gateways."""
--- a/src/jayvalve/platform/process.py
+++ b/src/jayvalve/platform/process.py
@@ -7,7 +7,6 @@
 import os
 import random
 import signal
-import sys
 from typing import Any, Self
 
 from jayvalve.errors import InvalidSettingsError, UnavailableError
@@ -21,6 +20,7 @@
 from jayvalve.internal.gateway.leases import HOLDER_LEASES
 from jayvalve.internal.gateway.ledger import BudgetLedger, LedgerSettings
 from jayvalve.internal.gateway.loads import PeerLoads, PeerSettings
+from jayvalve.internal.gateway.loop_monitor import LoopMonitor, MonitorSettings
 from jayvalve.internal.gateway.model import CallerLimits
 from jayvalve.internal.gateway.partitions import PartitionMap
 from jayvalve.internal.gateway.peer_calls import CallSettings, PeerCalls
@@ -33,7 +33,6 @@
 from jayvalve.internal.gateway.store_paths import PathSettings, StorePaths
 from jayvalve.internal.gateway.turn_locations import LocationSettings, TurnLocations
 from jayvalve.internal.gateway.turns import TurnSettings, TurnStore
-from jayvalve.internal.lifecycle import run_until_stopped
 from jayvalve.internal.metrics import Metrics
 from jayvalve.internal.supervision import SupervisionSettings, TaskSupervisor
 from jayvalve.internal.timing import Clock
@@ -45,11 +44,8 @@
 from jayvalve.platform.store import StoreClient
 from jayvalve.platform.topics import KeyedTopic, PeerRegister
 
-__all__ = ["GatewayProcess", "main", "run_gateway"]
+__all__ = ["GatewayProcess"]
 
-# The file contains JSON, although its name ends in .yaml.
-DEFAULT_SETTINGS_PATH = "/etc/jayvalve/local.yaml"
-SETTINGS_VARIABLE = "JAYVALVE_NODE_FILE"
 # Numbers of topics for budgets and for turns. Together with the platform's own topics, they stay
 # below the store's limit. Few topics suffice for budgets, because each partition of budgets is
 # rarely read and normally has a single gateway that appends to it. With few partitions, more
@@ -89,7 +85,7 @@
         self._log = DecisionLog(self._writer, settings.instance, self._clock)
         self._metrics = Metrics()
         # The log is written until all other tasks have ended.
-        self._supervisor = self._new_supervisor()
+        self._log_tasks = self._new_supervisor()
         self._tasks = self._new_supervisor()
         self._build()
 
@@ -122,8 +118,8 @@
         """Start all components and return the JSON line that reports the address for callers."""
         settings = self._settings
         self._log.capture_messages()
-        self._stack.push_async_callback(self._supervisor.close)
-        self._supervisor.start("log writer", self._writer.run)
+        self._stack.push_async_callback(self._log_tasks.close)
+        self._log_tasks.start("log writer", self._writer.run)
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._reload()
@@ -152,6 +148,7 @@
             "idle leases": self._ledger.run,
             "remote turns": self._budgets.run,
             "loads": self._exchange.run,
+            "loop monitor": self._loop_monitor.run,
             "announcement": self._announce_address,
             "expired accounts": self._expire_accounts,
         }.items():
@@ -206,6 +203,7 @@
         self._engine_pool = HttpPool(PoolSettings(), clock)
         store_client = StoreClient(store.address, self._store_pool)
         self._register = PeerRegister(store_client)
+        self._loop_monitor = LoopMonitor(clock, MonitorSettings(), self._metrics)
         self._peer_directory = PeerDirectory(clock, DirectoryRetention())
         self._paths: StorePaths[Any] = StorePaths(
             store_client,
@@ -262,7 +260,7 @@
             self._sender.running,
             self._health,
             settings.data_centre,
-            lambda: self._peer_directory.message_targets,
+            lambda: self._peer_directory.message_targets(self._loads.live_addresses()),
             lambda: self._paths.direct_usable,
         )
         self._service = GatewayService(
@@ -469,32 +467,3 @@
 async def _probe_store(client: StoreClient, timeout_s: float) -> None:
     """Make a call that the store answers immediately on any working path."""
     await client.read(names.CONFIG_TOPIC, 0, 0, timeout_s, max_bytes=1)
-
-
-def run_gateway(path: str | None = None) -> None:
-    """Run a gateway until it receives SIGTERM or SIGINT.
-
-    Args:
-        path: Path of the settings file. By default the path in the environment variable
-            JAYVALVE_NODE_FILE, or else DEFAULT_SETTINGS_PATH.
-
-    Raises:
-        InvalidSettingsError: the settings cannot be read or are not valid.
-
-    """
-    source = path or os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_PATH)
-    settings = load_platform_settings(source)
-
-    async def run() -> None:
-        await run_until_stopped(GatewayProcess.from_config(settings, source))
-
-    asyncio.run(run())
-
-
-def main() -> None:
-    """Run a gateway. On invalid settings, print one line to standard error and exit with code 2."""
-    try:
-        run_gateway()
-    except InvalidSettingsError as error:
-        print(json.dumps({"event": "start refused", "error": error.message}), file=sys.stderr)
-        sys.exit(2)
--- a/tests/slow/test_gateway_process.py
+++ b/tests/slow/test_gateway_process.py
@@ -26,6 +26,18 @@
 
         self.run_async(run(), timeout_s=30.0)
 
+    async def wait_served(self, deployment):
+        """Call gateway 0 until it serves a plain call; fail after RECOVERY_S."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + RECOVERY_S
+        status, number = 0, 0
+        while status != 200 and loop.time() < end_s:
+            number += 1
+            answer = await deployment.call("/status/", gateway=0, attempt=f"s{number}")
+            status = answer.status
+            await asyncio.sleep(0.1)
+        self.assertEqual(200, status)
+
     def test_serves_each_kind_of_request(self):
         async def scenario(deployment):
             stream = await deployment.call("/advice/1", attempt="s1", body=b"hello")
@@ -237,15 +249,7 @@
         async def scenario(deployment):
             deployment.store.faults.set({"mode": "down"})
             await deployment.restart_gateway(0)
-            loop = asyncio.get_running_loop()
-            end_s = loop.time() + RECOVERY_S
-            status, number = 0, 0
-            while status != 200 and loop.time() < end_s:
-                number += 1
-                answer = await deployment.call("/status/", gateway=0, attempt=f"s{number}")
-                status = answer.status
-                await asyncio.sleep(0.1)
-            self.assertEqual(200, status)
+            await self.wait_served(deployment)
 
         self.run_scenario(scenario, gateways=2)
 
@@ -262,15 +266,7 @@
             await asyncio.sleep(0.5)
             deployment.store.faults.set({"mode": "down"})
             await deployment.restart_gateway(0)
-            loop = asyncio.get_running_loop()
-            end_s = loop.time() + RECOVERY_S
-            status, number = 0, 0
-            while status != 200 and loop.time() < end_s:
-                number += 1
-                answer = await deployment.call("/status/", gateway=0, attempt=f"s{number}")
-                status = answer.status
-                await asyncio.sleep(0.1)
-            self.assertEqual(200, status)
+            await self.wait_served(deployment)
 
         self.run_scenario(scenario, gateways=2)
 
