Bound the stop of a process, and say what it waited for

Cause: a drain is bounded, the stop after it was not. Read from the code; the hang itself was not seen again.

The pages' test shows the end of that log if it does not.

--- a/src/jayvalve/internal/lifecycle.py
+++ b/src/jayvalve/internal/lifecycle.py
@@ -10,6 +10,10 @@
 
 _log = logger.bind(part="main")
 
+# Service managers kill a process 30 s or more after the stop signal, and a drain may have taken
+# most of that time already.
+STOP_TIMEOUT_S = 10.0
+
 
 class Service(Protocol):
     """Interface that run_until_stopped requires of a service."""
@@ -27,7 +31,8 @@
 async def run_until_stopped(service: Service) -> None:
     """Start a service, print its ready line, and drain it on SIGTERM or SIGINT.
 
-    A second signal ends the drain early.
+    A second signal ends the drain early. A stop that takes longer than STOP_TIMEOUT_S is abandoned,
+    and the log names what it waited for.
     """
     loop = asyncio.get_running_loop()
     signals = asyncio.Queue[int]()
@@ -39,7 +44,16 @@
         _log.info("stop requested; finishing work in progress")
         await _drain_unless_signalled(service, signals)
     finally:
-        await service.stop()
+        await _stop_within(service, STOP_TIMEOUT_S)
+
+
+async def _stop_within(service: Service, timeout_s: float) -> None:
+    try:
+        async with asyncio.timeout(timeout_s):
+            await service.stop()
+    except TimeoutError:
+        running = sorted(str(task.get_coro()) for task in asyncio.all_tasks())
+        _log.bind(timeout_s=timeout_s).error("stop abandoned; still running: {}", running)
 
 
 async def _drain_unless_signalled(service: Service, signals: asyncio.Queue[int]) -> None:
--- a/tests/slow/test_operator_pages.py
+++ b/tests/slow/test_operator_pages.py
@@ -33,6 +33,7 @@
 EXIT_CODE = re.compile(r"^\(exit code (\d+)\)$")
 COMMAND_TIMEOUT_S = 60
 STOP_TIMEOUT_S = 30
+LOG_TAIL_CHARACTERS = 8_000
 UNCERTAIN_KEY = "charge-118"
 
 
@@ -84,13 +85,9 @@
         self._environment["PATH"] = f"{directory / 'bin'}:{os.environ['PATH']}"
 
     def __enter__(self):
-        self._process = subprocess.Popen(
-            [sys.executable, "-m", "jayvalve", "local", "--port", "0"],
-            stdout=subprocess.PIPE,
-            stderr=subprocess.DEVNULL,
-            env=self._environment,
-            text=True,
-        )
+        self._log_path = self._directory / "local.log"
+        with self._log_path.open("wb") as log_file:
+            self._process = self._start(log_file)
         ready = self._process.stdout.readline()
         pattern = r"ready on (\S+); entries on (\S+), log on (\S+)$"
         entry, entries, log = re.search(pattern, ready).groups()
@@ -99,10 +96,23 @@
         asyncio.run(add_uncertain_call(log))
         return self
 
+    def _start(self, log_file):
+        return subprocess.Popen(
+            [sys.executable, "-m", "jayvalve", "local", "--port", "0"],
+            stdout=subprocess.PIPE,
+            stderr=log_file,
+            env=self._environment,
+            text=True,
+        )
+
     def __exit__(self, *exception):
         self._process.terminate()
         try:
             self._process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired as error:
+            # The process logs what its stop waits for.
+            tail = self._log_path.read_text(encoding="utf-8")[-LOG_TAIL_CHARACTERS:]
+            raise AssertionError(f"jayvalve local did not end; its log:\n{tail}") from error
         finally:
             self._process.kill()
             self._process.stdout.close()
