Keep the request limits that engines name, counted by one gateway for each engine

Callers saw nothing; engines that had named a limit of requests per second (Server-Limit) got several times as many. The header was unknown to the code.

Each answer now teaches the limit of its engine, and gateways tell each other. One gateway for each engine, chosen by rendezvous hashing, counts the requests of all gateways and is asked before each one. A new coordinator grants no burst, and one that hears a minority of the fleet grants only its share.

--- a/src/jayvalve/internal/gateway/calls.py
+++ b/src/jayvalve/internal/gateway/calls.py
@@ -66,6 +66,8 @@
         load: Number of requests that were known to be at the engine before the attempt.
         cached: Number of prompt tokens that are expected in the engine's cache.
         wait_s: Expected wait in the engine's queue, in seconds.
+        permit_s: Time for which the attempt waited for a permit, as the engine has limited its
+            rate, in seconds; None if it needed none.
         reused: Whether the attempt used a kept-alive connection.
 
     """
@@ -74,6 +76,7 @@
     load: int
     cached: int
     wait_s: float
+    permit_s: float | None = None
     reused: bool = False
     outcome: str = "cancelled"
     elapsed_s: float = 0.0
@@ -85,6 +88,7 @@
             "load": self.load,
             "cached": self.cached,
             "wait_ms": round(self.wait_s * 1000),
+            "permit_ms": None if self.permit_s is None else round(self.permit_s * 1000, 1),
             "reused": self.reused,
             "outcome": self.outcome,
             "ms": round(self.elapsed_s * 1000, 1),
@@ -127,6 +131,14 @@
     def says_not_run(self, status: int, headers: HTTPHeaders) -> bool:
         """Return whether an engine's answer says that the engine did not run the request."""
 
+    def request_limit(self, headers: HTTPHeaders) -> float | None:
+        """Return the requests per second that an engine takes from all gateways, or None.
+
+        Raises:
+            InvalidHeaderError: the limit is malformed.
+
+        """
+
     def is_signed(self, headers: HTTPHeaders) -> bool:
         """Return whether an answer comes from an engine that handled the request."""
 
--- a/src/jayvalve/internal/gateway/directory.py
+++ b/src/jayvalve/internal/gateway/directory.py
@@ -142,6 +142,10 @@
             if view.record.service == service and view.record.state is EngineState.READY
         ]
 
+    def accepts(self, view: EngineView) -> bool:
+        """Return whether an engine that was chosen before still accepts new requests."""
+        return self._views.get(view.key.id) is view and view.record.state is EngineState.READY
+
     def record_success(self, view: EngineView, service_s: float) -> None:
         """Record a successful answer and its service time."""
         view.failures = 0
--- a/src/jayvalve/internal/gateway/explain.py
+++ b/src/jayvalve/internal/gateway/explain.py
@@ -13,7 +13,17 @@
 CONTEXT_S = 10.0
 # Parts of the gateway whose messages describe its state.
 CONTEXT_PARTS = frozenset(
-    {"accounts", "budgets", "directory", "follower", "storage", "store_paths", "turns"}
+    {
+        "accounts",
+        "budgets",
+        "coordinators",
+        "directory",
+        "engine_limits",
+        "follower",
+        "storage",
+        "store_paths",
+        "turns",
+    }
 )
 CONTEXT_EVENTS = frozenset({"start", "stop", "drain", "drained", "reload", "configuration"})
 
@@ -78,7 +88,7 @@
 def _is_context(document: dict[str, Any], engines: set[str]) -> bool:
     if document.get("event") != "message" or document.get("part") not in CONTEXT_PARTS:
         return False
-    return document.get("part") != "directory" or document.get("engine") in engines
+    return "engine" not in document or document["engine"] in engines
 
 
 def _format_line(document: dict[str, Any]) -> str:
@@ -112,7 +122,13 @@
         lines.append(
             prefix
             + f"attempt {number}: engine {attempt['engine']} with {attempt['load']} requests "
-            f"known there, expected wait {attempt['wait_ms']} ms, {kind} connection: "
+            f"known there, expected wait {attempt['wait_ms']} ms, "
+            + (
+                f"waited {attempt['permit_ms']} ms for a permit of the limited engine, "
+                if attempt.get("permit_ms") is not None
+                else ""
+            )
+            + f"{kind} connection: "
             f"{attempt['outcome']} after {attempt['ms']} ms"
         )
     lines.append(
--- a/src/jayvalve/internal/gateway/peer_directory.py
+++ b/src/jayvalve/internal/gateway/peer_directory.py
@@ -32,8 +32,14 @@
         self._clock = clock
         self._settings = settings
         self._registered: dict[str, Address] = {}
+        self._loaded = False
         self._departed_until_s: dict[Address, float] = {}
 
+    @property
+    def known(self) -> int | None:
+        """Number of gateways, including this one, or None before the register was read."""
+        return len(self._registered) + 1 if self._loaded else None
+
     @property
     def registered(self) -> list[Address]:
         """Addresses of the gateways that are registered."""
@@ -63,6 +69,7 @@
 
     def replace_all(self, addresses: Mapping[str, Address]) -> None:
         """Replace the registered gateways."""
+        self._loaded = True
         for instance in list(self._registered):
             if instance not in addresses:
                 self.apply(instance, None)
--- a/src/jayvalve/internal/gateway/placement.py
+++ b/src/jayvalve/internal/gateway/placement.py
@@ -70,6 +70,8 @@
         in_backoff: Whether the engine could not be reached recently.
         failure_share: Expected share of requests that fail at the engine, from 0 to 1.
         age_s: Time since the engine's last successful answer to this gateway, in seconds.
+        permit_wait_s: Expected wait until a request may be sent, if the engine has limited its
+            rate, in seconds.
 
     """
 
@@ -84,6 +86,7 @@
     age_s: float = 0.0
     tokens: int = 0
     memory_tokens: int | None = None
+    permit_wait_s: float = 0.0
 
 
 @attrs.frozen
@@ -147,7 +150,7 @@
     best: Placement | None = None
     for candidate in usable:
         service_s = _service_s(candidate, typical_s, settings)
-        wait_s = estimate_wait_s(candidate, service_s)
+        wait_s = candidate.permit_wait_s + estimate_wait_s(candidate, service_s)
         cost_s = wait_s + service_s * (
             1 + settings.batch_slowdown * candidate.load / candidate.slots
         )
--- a/src/jayvalve/internal/gateway/sender.py
+++ b/src/jayvalve/internal/gateway/sender.py
@@ -2,20 +2,24 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 
 import attrs
+from loguru import logger
 
 from jayvalve.errors import (
     DeadlineExceededError,
     DeadlineUnreachableError,
     EndpointFailedError,
+    InvalidHeaderError,
+    JayvalveError,
     NoEndpointError,
     OverloadedError,
 )
 from jayvalve.internal.gateway.calls import AttemptHistory, AttemptRecord, Call, HeaderCodec
 from jayvalve.internal.gateway.directory import EngineDirectory, EngineView
+from jayvalve.internal.gateway.engine_limits import EngineLimits
 from jayvalve.internal.gateway.health import HealthTracker
 from jayvalve.internal.gateway.http_client import (
     BrokenConnectionError,
@@ -26,6 +30,8 @@
     ResponseHead,
 )
 from jayvalve.internal.gateway.loads import PeerLoads
+from jayvalve.internal.gateway.model import EngineKey
+from jayvalve.internal.gateway.permits import SendPermits
 from jayvalve.internal.gateway.placement import (
     Candidate,
     Placement,
@@ -39,6 +45,8 @@
 
 __all__ = ["EngineAnswer", "EngineSender", "SenderSettings"]
 
+_log = logger.bind(part="sender")
+
 
 @attrs.frozen
 class SenderSettings:
@@ -50,12 +58,21 @@
             idempotent call is sent to another engine, as a multiple of the route's target time.
         head_timeout_service_factor: The same as a multiple of the engine's average service time.
             The longer of the two applies.
+        permit_wait_target_factor: How long a call may wait for a permit of an engine that has
+            limited its rate, as a multiple of the route's target time. Calls that would have to
+            wait for longer are refused at once, so that the others are answered in time.
+        permit_slack_s: How much longer than expected a call waits for a permit before another
+            engine is considered, in seconds.
+        max_permit_rounds: Maximum number of times that a call without a permit is placed again.
 
     """
 
     max_sends: int = 4
     head_timeout_target_factor: float = 0.8
     head_timeout_service_factor: float = 5.0
+    permit_wait_target_factor: float = 0.5
+    permit_slack_s: float = 0.03
+    max_permit_rounds: int = 12
 
 
 @attrs.define
@@ -83,6 +100,8 @@
 
     Args:
         on_load_change: Called when this gateway's requests at an engine change.
+        limits: Learns the limits that engines name in their answers.
+        permits: Grants requests to engines that have limited their rate.
         refresh_loads: Called before an engine is chosen, to read the loads that other gateways
             have reported.
 
@@ -99,8 +118,12 @@
         rng: random.Random,
         data_centre: str,
         on_load_change: Callable[[], None],
+        limits: EngineLimits,
+        permits: SendPermits,
         refresh_loads: Callable[[], None] = lambda: None,
     ) -> None:
+        self._limits = limits
+        self._permits = permits
         self._directory = directory
         self._loads = loads
         self._health = health
@@ -139,12 +162,13 @@
 
         """
         while True:
-            view, placement = self._place(call, history)
+            view, placement, permit_s = await self._place_with_permit(call, history)
             attempt = AttemptRecord(
                 view.key.id,
                 placement.candidate.load,
                 placement.candidate.cached_tokens,
                 placement.wait_s,
+                permit_s,
             )
             history.attempts.append(attempt)
             answer = await self._attempt(call, view, attempt, history, extra_headers)
@@ -175,6 +199,46 @@
         """Record that an engine's answer broke off."""
         self._health.record(answer.view.key.id, failed=True)
 
+    async def _place_with_permit(
+        self, call: Call, history: AttemptHistory
+    ) -> tuple[EngineView, Placement, float | None]:
+        """Choose an engine, and wait until a request may be sent to it.
+
+        Returns:
+            The engine, its placement, and the time waited for a permit or None if none is needed.
+
+        """
+        started_s = self._clock.now()
+        for _ in range(self._settings.max_permit_rounds):
+            view, placement = self._place(call, history)
+            if not self._permits.is_limited(view.key):
+                return view, placement, None
+            expected_s = placement.candidate.permit_wait_s
+            delay_s = await self._permits.acquire(
+                view.key,
+                min(
+                    expected_s + self._settings.permit_slack_s,
+                    self._longest_permit_wait_s(call, view),
+                ),
+                urgent=call.route.rank == 0,
+            )
+            if delay_s is None:
+                continue
+            await asyncio.sleep(delay_s)
+            if self._directory.accepts(view):
+                return view, placement, self._clock.now() - started_s
+        raise self._limited_error(history, self._settings.permit_slack_s)
+
+    def _longest_permit_wait_s(self, call: Call, view: EngineView) -> float:
+        """Return how long a call may wait for a permit and still be answered in time."""
+        return max(
+            0.0,
+            min(
+                call.route.target_s * self._settings.permit_wait_target_factor,
+                call.deadline.remaining_s - (view.service_s or 0.0),
+            ),
+        )
+
     def _place(self, call: Call, history: AttemptHistory) -> tuple[EngineView, Placement]:
         self._refresh_loads()
         now = self._clock.now()
@@ -185,6 +249,7 @@
         }
         untried = {key: view for key, view in views.items() if key not in history.may_have_run}
         candidates = [self._candidate(view, call, now) for view in (untried or views).values()]
+        candidates = self._drop_limited(candidates, views, call, history)
         need = PlacementNeed(
             call.info.prompt_tokens, call.info.max_output_tokens, call.route.repeatable
         )
@@ -198,6 +263,39 @@
             )
         return views[placement.candidate.key], placement
 
+    def _drop_limited(
+        self,
+        candidates: list[Candidate],
+        views: Mapping[EngineKey, EngineView],
+        call: Call,
+        history: AttemptHistory,
+    ) -> list[Candidate]:
+        """Return the engines of which a permit can be had in time.
+
+        Raises:
+            OverloadedError, EndpointFailedError: there are engines, but no such one.
+
+        """
+        within_limit = [
+            candidate
+            for candidate in candidates
+            if candidate.permit_wait_s <= self._longest_permit_wait_s(call, views[candidate.key])
+        ]
+        if candidates and not within_limit:
+            wait_s = min(candidate.permit_wait_s for candidate in candidates)
+            raise self._limited_error(history, wait_s)
+        return within_limit
+
+    @staticmethod
+    def _limited_error(history: AttemptHistory, wait_s: float) -> JayvalveError:
+        """Return the error of a call that no engine takes, as all have reached their limits."""
+        if history.may_have_run:
+            return EndpointFailedError("each other engine has reached its limit of requests")
+        return OverloadedError(
+            "each engine of the service has reached its limit of requests",
+            retry_after_s=max(0.1, wait_s),
+        )
+
     def _candidate(self, view: EngineView, call: Call, now: float) -> Candidate:
         requests, tokens = self._loads.running(view.key.id)
         model = call.service.model
@@ -213,6 +311,7 @@
             in_backoff=now < view.backoff_until_s,
             failure_share=self._health.failure_share(view.key.id),
             age_s=now - view.answered_s,
+            permit_wait_s=self._permits.expected_wait_s(view.key),
         )
 
     @staticmethod
@@ -255,6 +354,7 @@
             attempt.reused = exchange.reused
             async with asyncio.timeout(self._head_timeout_s(call, view, history)):
                 head = await exchange.head()
+            self._learn_limit(view, head)
             if self._codec.says_not_run(head.status, head.headers):
                 attempt.outcome = f"refused {head.status}"
                 history.refused.add(view.key)
@@ -287,6 +387,15 @@
             self._raise_no_attempt_left(history)
         return answer
 
+    def _learn_limit(self, view: EngineView, head: ResponseHead) -> None:
+        if head.status == HTTPStatus.MISDIRECTED_REQUEST:
+            # Another engine has the address now.
+            return
+        try:
+            self._limits.observe(view.key, self._codec.request_limit(head.headers))
+        except InvalidHeaderError as error:
+            _log.bind(engine=view.key.id, error=error.message).info("ignored an engine's limit")
+
     def _release(self, view: EngineView, tokens: int) -> None:
         view.running -= 1
         view.tokens -= tokens
--- a/src/jayvalve/platform/headers.py
+++ b/src/jayvalve/platform/headers.py
@@ -85,6 +85,26 @@
         """
         return names.NOT_EXECUTED in headers or status == HTTPStatus.MISDIRECTED_REQUEST
 
+    def request_limit(self, headers: HTTPHeaders) -> float | None:
+        """Return the requests per second that an engine takes from all gateways, or None.
+
+        Raises:
+            InvalidHeaderError: the limit is not a decimal number from 0.
+
+        """
+        value = headers.get(names.SERVER_LIMIT)
+        if value is None:
+            return None
+        try:
+            per_s = float(value)
+        except ValueError as error:
+            raise InvalidHeaderError(
+                f"{names.SERVER_LIMIT} is not a number: {value!r:.40}"
+            ) from error
+        if not math.isfinite(per_s) or per_s < 0.0:
+            raise InvalidHeaderError(f"{names.SERVER_LIMIT} is not a rate: {value!r:.40}")
+        return per_s
+
     def is_signed(self, headers: HTTPHeaders) -> bool:
         """Return whether an answer comes from an engine that handled the request."""
         return names.SIGNATURE in headers
--- a/src/jayvalve/platform/process.py
+++ b/src/jayvalve/platform/process.py
@@ -11,14 +11,17 @@
 
 from jayvalve.errors import InvalidSettingsError, UnavailableError
 from jayvalve.internal.gateway.budgets import BudgetSettings, TurnBudgets
+from jayvalve.internal.gateway.coordinators import Coordinators
 from jayvalve.internal.gateway.decisions import DecisionLog, LogLimits, LogWriter
 from jayvalve.internal.gateway.directory import DirectorySettings, EngineDirectory
+from jayvalve.internal.gateway.engine_limits import EngineLimits, LimitSettings
 from jayvalve.internal.gateway.follower import FollowerSettings, KeyedFollower
 from jayvalve.internal.gateway.frontend import Frontend
 from jayvalve.internal.gateway.health import HealthSettings, HealthTracker
 from jayvalve.internal.gateway.http_client import HttpPool, PoolSettings
 from jayvalve.internal.gateway.leases import HOLDER_LEASES
 from jayvalve.internal.gateway.ledger import BudgetLedger, LedgerSettings
+from jayvalve.internal.gateway.limit_messages import LimitExchange, LimitExchangeSettings
 from jayvalve.internal.gateway.loads import PeerLoads, PeerSettings
 from jayvalve.internal.gateway.loop_monitor import LoopMonitor, MonitorSettings
 from jayvalve.internal.gateway.model import CallerLimits
@@ -26,6 +29,7 @@
 from jayvalve.internal.gateway.peer_calls import CallSettings, PeerCalls
 from jayvalve.internal.gateway.peer_directory import DirectoryRetention, PeerDirectory
 from jayvalve.internal.gateway.peers import CallSocket, LoadExchange
+from jayvalve.internal.gateway.permits import PermitSettings, SendPermits
 from jayvalve.internal.gateway.sender import EngineSender
 from jayvalve.internal.gateway.service import GatewayService
 from jayvalve.internal.gateway.status import StatusServer
@@ -148,6 +152,7 @@
             "idle leases": self._ledger.run,
             "remote turns": self._budgets.run,
             "loads": self._exchange.run,
+            "limits": self._limit_exchange.run,
             "loop monitor": self._loop_monitor.run,
             "announcement": self._announce_address,
             "expired accounts": self._expire_accounts,
@@ -169,6 +174,7 @@
         self._log.write("drain", running=self._service.running)
         with contextlib.suppress(UnavailableError):
             await self._register.withdraw(self._settings.instance, 0.5)
+        self._coordinators.withdraw()
         self._frontend.begin_closing()
         await self._budgets.hand_over()
         await asyncio.sleep(DEREGISTRATION_DELAY_S)
@@ -240,6 +246,7 @@
         )
         self._directory = EngineDirectory(clock, DirectorySettings())
         self._health = HealthTracker(clock, HealthSettings(), settings.data_centre)
+        self._build_limits()
         self._sender = EngineSender(
             self._directory,
             self._loads,
@@ -250,6 +257,8 @@
             self._rng,
             settings.data_centre,
             lambda: self._exchange.notify_change(),
+            self._limits,
+            self._permits,
             lambda: self._exchange.receive(),
         )
         self._exchange = LoadExchange(
@@ -298,6 +307,29 @@
             BudgetSettings(),
         )
 
+    def _build_limits(self) -> None:
+        clock = self._clock
+        self._limits = EngineLimits(
+            clock, LimitSettings(), lambda: self._limit_exchange.notify_change()
+        )
+        self._limit_exchange = LimitExchange(
+            self._limits,
+            self._calls,
+            lambda: self._peer_directory.message_targets(self._loads.live_addresses()),
+            clock,
+            LimitExchangeSettings(),
+        )
+        self._coordinators = Coordinators(self._settings.peer, self._loads.live_addresses, clock)
+        self._permits = SendPermits(
+            self._limits,
+            self._calls,
+            self._coordinators,
+            lambda: self._peer_directory.known,
+            clock,
+            PermitSettings(),
+            self._metrics,
+        )
+
     async def _fetch_turn(
         self, address: tuple[str, int], turn_id: str, timeout_s: float
     ) -> list[bytes] | None:
@@ -354,6 +386,7 @@
                 "turns elsewhere with tokens of this one",
             ),
             "engine_failures": (lambda: len(self._health.report()), "engines that failed lately"),
+            "limited_engines": (lambda: self._limits.limited, "engines that name a limit"),
             "turn_memory_bytes": (lambda: self._turns.memory_bytes, "texts of turns in memory"),
         }
         for name, (read_value, help_text) in gauges.items():
--- a/src/jayvalve/standins/platform_engine.py
+++ b/src/jayvalve/standins/platform_engine.py
@@ -5,7 +5,7 @@
 import json
 import random
 import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Mapping
 
 import attrs
@@ -38,6 +38,8 @@
         lose_share: Share of the requests that run but get no answer.
         error_share: Share of the requests answered with status 500.
         extra_share: Share of the answers followed by a second one on the same connection.
+        limit_per_s: Requests per second that the engine names as its limit, or None. It does not
+            enforce the limit.
         seed: Seed of the random faults.
 
     """
@@ -53,6 +55,7 @@
     lose_share: float = 0.0
     error_share: float = 0.0
     extra_share: float = 0.0
+    limit_per_s: float | None = None
     seed: int = 1
 
 
@@ -76,6 +79,7 @@
         self.runs: Counter[str] = Counter()
         self.bodies: dict[str, bytes] = {}
         self.headers: dict[str, dict[str, str]] = {}
+        self.arrivals_s: deque[float] = deque(maxlen=MAX_RECORDED_BODIES)
         self.tokens: Counter[str] = Counter()
         self.running = 0
         self.waiting = 0
@@ -117,6 +121,9 @@
 
     async def _handle_call(self) -> None:
         engine = self.standin
+        engine.arrivals_s.append(time.monotonic())
+        if engine.settings.limit_per_s is not None:
+            self.set_header("Server-Limit", f"{engine.settings.limit_per_s:g}")
         attempt = self.request.headers.get(ATTEMPT_ID, "")
         expected = self.request.headers.get(EXPECTED_INSTANCE)
         if expected is not None and expected != engine.settings.id:
