Send no new work to engines that announce their end in an answer

Engines that leave say so in all their answers (Server-Leaving). Gateways went by the store's list alone: with an outdated list they kept sending.

An announcement to a gateway now holds until the engine's next incarnation, whatever the list or other gateways say; idle connections are closed and waiting calls are placed elsewhere. Other gateways hear of it and prefer other engines until they are told themselves. When all engines leave, calls are refused at once.

Entries with sidecars are not changed.

--- a/src/jayvalve/internal/gateway/calls.py
+++ b/src/jayvalve/internal/gateway/calls.py
@@ -131,6 +131,9 @@
     def says_not_run(self, status: int, headers: HTTPHeaders) -> bool:
         """Return whether an engine's answer says that the engine did not run the request."""
 
+    def says_leaving(self, headers: HTTPHeaders) -> bool:
+        """Return whether an engine announces in an answer that it leaves."""
+
     def request_limit(self, headers: HTTPHeaders) -> float | None:
         """Return the requests per second that an engine takes from all gateways, or None.
 
--- a/src/jayvalve/internal/gateway/directory.py
+++ b/src/jayvalve/internal/gateway/directory.py
@@ -5,6 +5,7 @@
 import attrs
 from loguru import logger
 
+from jayvalve.internal.gateway.departures import Departures
 from jayvalve.internal.gateway.model import EngineKey, EngineRecord, EngineState
 from jayvalve.internal.timing import Clock
 
@@ -68,6 +69,7 @@
     """Tracks the engines' entries in the store.
 
     Args:
+        departures: Engines that have announced in an answer that they leave.
         on_restart: Called with the earlier incarnation of an engine that has started again under
             its id.
 
@@ -77,8 +79,10 @@
         self,
         clock: Clock,
         settings: DirectorySettings,
+        departures: Departures,
         on_restart: Callable[[EngineKey], None] = lambda _: None,
     ) -> None:
+        self._departures = departures
         self._on_restart = on_restart
         self._clock = clock
         self._settings = settings
@@ -126,6 +130,7 @@
             return
         if view is None or view.key != record.key:
             self._views[engine_id] = EngineView(record)
+            self._departures.forget_before(record.key)
             _log.bind(engine=engine_id, service=record.service, born=record.key.born_ms).info(
                 "engine added"
             )
@@ -153,12 +158,30 @@
         return [
             view
             for view in self._views.values()
-            if view.record.service == service and view.record.state is EngineState.READY
+            if view.record.service == service and self._takes_new_work(view)
         ]
 
     def accepts(self, view: EngineView) -> bool:
         """Return whether an engine that was chosen before still accepts new requests."""
-        return self._views.get(view.key.id) is view and view.record.state is EngineState.READY
+        return self._views.get(view.key.id) is view and self._takes_new_work(view)
+
+    def is_avoided(self, view: EngineView) -> bool:
+        """Return whether an engine is used only if there is no other."""
+        return self._clock.now() < view.backoff_until_s or self._departures.is_rumoured(view.key)
+
+    def all_leave(self, service: str) -> bool:
+        """Return whether the service has engines, all of which are leaving."""
+        states = [
+            self._takes_new_work(view)
+            for view in self._views.values()
+            if view.record.service == service
+        ]
+        return bool(states) and not any(states)
+
+    def _takes_new_work(self, view: EngineView) -> bool:
+        return view.record.state is EngineState.READY and not self._departures.is_announced(
+            view.key
+        )
 
     def record_success(self, view: EngineView, service_s: float) -> None:
         """Record a successful answer and its service time."""
--- a/src/jayvalve/internal/gateway/explain.py
+++ b/src/jayvalve/internal/gateway/explain.py
@@ -19,11 +19,13 @@
         "coordinators",
         "crash_records",
         "crashes",
+        "departures",
         "directory",
         "engine_limits",
         "follower",
         "storage",
         "store_paths",
+        "trials",
         "turns",
     }
 )
@@ -90,7 +92,9 @@
 def _is_context(document: dict[str, Any], engines: set[str]) -> bool:
     if document.get("event") != "message" or document.get("part") not in CONTEXT_PARTS:
         return False
-    return "engine" not in document or document["engine"] in engines
+    # An engine that leaves is not among those that were tried.
+    leaves = document["part"] == "departures"
+    return leaves or "engine" not in document or document["engine"] in engines
 
 
 def _format_line(document: dict[str, Any]) -> str:
--- a/src/jayvalve/internal/gateway/sender.py
+++ b/src/jayvalve/internal/gateway/sender.py
@@ -21,6 +21,7 @@
 from jayvalve.internal.gateway.calls import AttemptHistory, AttemptRecord, Call, HeaderCodec
 from jayvalve.internal.gateway.crash_records import CrashRecords
 from jayvalve.internal.gateway.crashes import CrashDetector, fingerprint_of
+from jayvalve.internal.gateway.departures import Departures
 from jayvalve.internal.gateway.directory import EngineDirectory, EngineView
 from jayvalve.internal.gateway.engine_limits import EngineLimits
 from jayvalve.internal.gateway.health import HealthTracker
@@ -70,6 +71,8 @@
         max_permit_rounds: Maximum number of times that a call without a permit is placed again.
         trial_retry_after_s: When a caller may repeat a request that runs elsewhere and under
             which an engine has ended, in seconds.
+        leaving_retry_after_s: When a caller may repeat a request while all engines of the service
+            leave, in seconds. A new engine is seen within a second of its first entry.
 
     """
 
@@ -80,6 +83,7 @@
     permit_slack_s: float = 0.03
     max_permit_rounds: int = 12
     trial_retry_after_s: float = 0.3
+    leaving_retry_after_s: float = 1.0
 
 
 @attrs.define
@@ -111,6 +115,7 @@
 
     Args:
         on_load_change: Called when this gateway's requests at an engine change.
+        departures: Learns which engines announce in their answers that they leave.
         limits: Learns the limits that engines name in their answers.
         permits: Grants requests to engines that have limited their rate.
         crash_records: Requests that are not sent because engines ended while they ran them.
@@ -132,6 +137,7 @@
         rng: random.Random,
         data_centre: str,
         on_load_change: Callable[[], None],
+        departures: Departures,
         limits: EngineLimits,
         permits: SendPermits,
         crash_records: CrashRecords,
@@ -139,6 +145,7 @@
         trials: RequestTrials,
         refresh_loads: Callable[[], None] = lambda: None,
     ) -> None:
+        self._departures = departures
         self._limits = limits
         self._permits = permits
         self._crash_records = crash_records
@@ -207,6 +214,8 @@
         elapsed_s = self._clock.now() - answer.started_s
         answer.attempt.elapsed_s = elapsed_s
         answer.attempt.outcome = "complete" if answer.exchange.complete else "broken"
+        if self._departures.is_announced(answer.view.key):
+            self._pool.discard(answer.view.record.address)
         if answer.trial is not None:
             self._crashes.end_trial(answer.trial)
         if received:
@@ -319,7 +328,8 @@
         )
         placement = choose_engine(candidates, need, self._placement, self._rng)
         if placement is None:
-            self._raise_no_attempt_left(history)
+            leaving = self._directory.all_leave(call.service.name)
+            self._raise_no_attempt_left(history, leaving)
         if placement.wait_s >= call.deadline.remaining_s and not history.may_have_run:
             raise DeadlineUnreachableError(
                 f"expected wait {placement.wait_s:.2f} s exceeds the time left",
@@ -372,15 +382,20 @@
             service_s=view.service_s,
             remote=view.record.data_centre != self._data_centre,
             cached_tokens=self._prefixes.cached_tokens(call.info.prefix, view.key),
-            in_backoff=now < view.backoff_until_s,
+            in_backoff=self._directory.is_avoided(view),
             failure_share=self._health.failure_share(view.key.id),
             age_s=now - view.answered_s,
             permit_wait_s=self._permits.expected_wait_s(view.key),
         )
 
-    @staticmethod
-    def _raise_no_attempt_left(history: AttemptHistory) -> None:
-        """Raise the error of a call for which no further attempt can be made."""
+    def _raise_no_attempt_left(self, history: AttemptHistory, leaving: bool = False) -> None:
+        """Raise the error of a call for which no further attempt can be made.
+
+        Args:
+            history: Attempts of the call so far.
+            leaving: Whether all engines of the service are leaving.
+
+        """
         if history.may_have_run:
             raise EndpointFailedError(
                 "the call has no attempts left or there is no other engine to try"
@@ -390,6 +405,11 @@
                 "each engine that was tried refused the call or could not be reached",
                 retry_after_s=0.15,
             )
+        if leaving:
+            raise NoEndpointError(
+                "all engines of the service are leaving",
+                retry_after_s=self._settings.leaving_retry_after_s,
+            )
         raise NoEndpointError("no engine of the service accepts requests", retry_after_s=0.3)
 
     async def _attempt(
@@ -418,7 +438,7 @@
             attempt.reused = exchange.reused
             async with asyncio.timeout(self._head_timeout_s(call, view, history)):
                 head = await exchange.head()
-            self._learn_limit(view, head)
+            self._learn_state(view, head)
             if self._codec.says_not_run(head.status, head.headers):
                 attempt.outcome = f"refused {head.status}"
                 history.refused.add(view.key)
@@ -447,10 +467,14 @@
             self._raise_no_attempt_left(history)
         return answer
 
-    def _learn_limit(self, view: EngineView, head: ResponseHead) -> None:
+    def _learn_state(self, view: EngineView, head: ResponseHead) -> None:
+        """Learn what an engine says of itself in an answer."""
         if head.status == HTTPStatus.MISDIRECTED_REQUEST:
             # Another engine has the address now.
             return
+        if self._codec.says_leaving(head.headers):
+            self._departures.record(view.key)
+            self._pool.discard(view.record.address)
         try:
             self._limits.observe(view.key, self._codec.request_limit(head.headers))
         except InvalidHeaderError as error:
--- a/src/jayvalve/platform/headers.py
+++ b/src/jayvalve/platform/headers.py
@@ -85,6 +85,10 @@
         """
         return names.NOT_EXECUTED in headers or status == HTTPStatus.MISDIRECTED_REQUEST
 
+    def says_leaving(self, headers: HTTPHeaders) -> bool:
+        """Return whether an engine announces in an answer that it leaves."""
+        return headers.get(names.SERVER_LEAVING, "").strip() == "1"
+
     def request_limit(self, headers: HTTPHeaders) -> float | None:
         """Return the requests per second that an engine takes from all gateways, or None.
 
--- a/src/jayvalve/platform/names.py
+++ b/src/jayvalve/platform/names.py
@@ -18,6 +18,7 @@
     "PROGRAM_ID",
     "READINESS_PATH",
     "REQUEST_PRIORITY",
+    "SERVER_LEAVING",
     "SERVER_LIMIT",
     "SIGNATURE",
     "STRIPPED_HEADERS",
@@ -29,6 +30,7 @@
 ATTEMPT_ID: Final = "X-Jayvalve-Attempt-Id"
 SIGNATURE: Final = "X-Jayvalve-Server-Signature"
 NOT_EXECUTED: Final = "X-Jayvalve-Not-Executed"
+SERVER_LEAVING: Final = "Server-Leaving"
 SERVER_LIMIT: Final = "Server-Limit"
 DEADLINE_MS: Final = "X-Jayvalve-Deadline-Ms"
 EXPECTED_INSTANCE: Final = "X-Jayvalve-Expected-Instance"
--- a/src/jayvalve/platform/process.py
+++ b/src/jayvalve/platform/process.py
@@ -16,6 +16,11 @@
 from jayvalve.internal.gateway.crash_records import CrashRecords, CrashSettings
 from jayvalve.internal.gateway.crashes import CRASH_NOTICES, CrashDetector
 from jayvalve.internal.gateway.decisions import DecisionLog, LogLimits, LogWriter
+from jayvalve.internal.gateway.departures import (
+    DEPARTURE_NOTICES,
+    Departures,
+    DepartureSettings,
+)
 from jayvalve.internal.gateway.directory import DirectorySettings, EngineDirectory
 from jayvalve.internal.gateway.engine_limits import EngineLimits, LimitSettings
 from jayvalve.internal.gateway.follower import FollowerSettings, KeyedFollower
@@ -164,6 +169,7 @@
             "loads": self._exchange.run,
             "limits": self._limit_notices.run,
             "crashes": self._crash_notices.run,
+            "departures": self._departure_notices.run,
             "loop monitor": self._loop_monitor.run,
             "announcement": self._announce_address,
             "expired accounts": self._expire_accounts,
@@ -255,8 +261,17 @@
             ),
             self._fetch_turn,
         )
+        self._departures = Departures(
+            clock, DepartureSettings(), lambda: self._departure_notices.notify_change()
+        )
+        self._departure_notices = self._new_notices(
+            DEPARTURE_NOTICES, self._departures.items, self._departures.receive
+        )
         self._directory = EngineDirectory(
-            clock, DirectorySettings(), lambda engine: self._crashes.record_restart(engine)
+            clock,
+            DirectorySettings(),
+            self._departures,
+            lambda engine: self._crashes.record_restart(engine),
         )
         self._health = HealthTracker(clock, HealthSettings(), settings.data_centre)
         self._build_limits()
@@ -271,6 +286,7 @@
             self._rng,
             settings.data_centre,
             lambda: self._exchange.notify_change(),
+            self._departures,
             self._limits,
             self._permits,
             self._crash_records,
@@ -428,6 +444,10 @@
                 "turns elsewhere with tokens of this one",
             ),
             "engine_failures": (lambda: len(self._health.report()), "engines that failed lately"),
+            "leaving_engines": (
+                lambda: self._departures.announced,
+                "engines that announced their end in an answer",
+            ),
             "limited_engines": (lambda: self._limits.limited, "engines that name a limit"),
             "blocked_requests": (
                 lambda: self._crash_records.blocked,
--- a/src/jayvalve/standins/platform_engine.py
+++ b/src/jayvalve/standins/platform_engine.py
@@ -42,6 +42,7 @@
             enforce the limit.
         crash_text: Text in the body of a request at which the engine ends: it stops listening and
             closes all connections. Empty for none.
+        leaving: Whether the engine announces in its answers that it leaves. It goes on serving.
         seed: Seed of the random faults.
 
     """
@@ -59,6 +60,7 @@
     extra_share: float = 0.0
     limit_per_s: float | None = None
     crash_text: str = ""
+    leaving: bool = False
     seed: int = 1
 
 
@@ -126,6 +128,8 @@
     async def _handle_call(self) -> None:
         engine = self.standin
         engine.arrivals_s.append(time.monotonic())
+        if engine.settings.leaving:
+            self.set_header("Server-Leaving", "1")
         if engine.settings.limit_per_s is not None:
             self.set_header("Server-Limit", f"{engine.settings.limit_per_s:g}")
         attempt = self.request.headers.get(ATTEMPT_ID, "")
--- a/tests/cover/test_gateway_decisions.py
+++ b/tests/cover/test_gateway_decisions.py
@@ -7,6 +7,7 @@
 
 from jayvalve.errors import LogUnavailableError
 from jayvalve.internal.gateway.decisions import DecisionLog, LogLimits, LogWriter
+from jayvalve.internal.gateway.departures import Departures, DepartureSettings
 from jayvalve.internal.gateway.directory import DirectorySettings, EngineDirectory
 from jayvalve.internal.gateway.events import EventSplitter
 from jayvalve.internal.gateway.follower import FollowerSettings, KeyedFollower
@@ -97,7 +98,11 @@
     def setUp(self):
         super().setUp()
         self.clock = ManualClock(100.0)
-        self.directory = EngineDirectory(self.clock, DirectorySettings(expiry_grace_s=2.0))
+        self.directory = EngineDirectory(
+            self.clock,
+            DirectorySettings(expiry_grace_s=2.0),
+            Departures(self.clock, DepartureSettings()),
+        )
 
     def names(self):
         return sorted(view.key.id for view in self.directory.candidates("models"))
