Take no refusal that names no request for one on a kept connection

A faulty engine may write an earlier refusal once more on a kept connection. Callers were then told 429, not run, of a request that the engine was running; with a further engine, the request was sent there as well.

Such an answer now counts as a broken connection, after which the request may have run.

Evidence: two of the five tests failed before (429 instead of 502).

--- a/src/jayvalve/internal/gateway/calls.py
+++ b/src/jayvalve/internal/gateway/calls.py
@@ -128,6 +128,9 @@
     def is_answer_to(self, attempt_id: str, status: int, headers: HTTPHeaders) -> bool:
         """Return whether an engine's answer belongs to the given attempt of a caller."""
 
+    def names_attempt(self, headers: HTTPHeaders) -> bool:
+        """Return whether an engine's answer says to which attempt it belongs."""
+
     def says_not_run(self, status: int, headers: HTTPHeaders) -> bool:
         """Return whether an engine's answer says that the engine did not run the request."""
 
--- a/src/jayvalve/internal/gateway/sender.py
+++ b/src/jayvalve/internal/gateway/sender.py
@@ -438,6 +438,10 @@
             attempt.reused = exchange.reused
             async with asyncio.timeout(self._head_timeout_s(call, view, history)):
                 head = await exchange.head()
+            if exchange.reused and not self._codec.names_attempt(head.headers):
+                # It may be a late copy of an answer to an earlier request on this connection, and
+                # the engine may be running this one.
+                raise BrokenConnectionError("an answer on a kept connection names no request")
             self._learn_state(view, head)
             if self._codec.says_not_run(head.status, head.headers):
                 attempt.outcome = f"refused {head.status}"
--- a/src/jayvalve/platform/headers.py
+++ b/src/jayvalve/platform/headers.py
@@ -71,13 +71,17 @@
     def is_answer_to(self, attempt_id: str, status: int, headers: HTTPHeaders) -> bool:
         """Return whether an answer belongs to an attempt.
 
-        Engines echo the attempt id. A refusal may lack it, a successful answer may not.
+        Engines echo the attempt id. A failure may lack it, a successful answer may not.
         """
         echoed = headers.get(names.ATTEMPT_ID)
         if echoed is None:
             return status >= HTTPStatus.MULTIPLE_CHOICES
         return echoed == attempt_id
 
+    def names_attempt(self, headers: HTTPHeaders) -> bool:
+        """Return whether an engine's answer says to which attempt it belongs."""
+        return names.ATTEMPT_ID in headers
+
     def says_not_run(self, status: int, headers: HTTPHeaders) -> bool:
         """Return whether an engine's answer states that it did not run the request.
 
--- a/src/jayvalve/standins/platform_engine.py
+++ b/src/jayvalve/standins/platform_engine.py
@@ -133,6 +133,7 @@
         if engine.settings.limit_per_s is not None:
             self.set_header("Server-Limit", f"{engine.settings.limit_per_s:g}")
         attempt = self.request.headers.get(ATTEMPT_ID, "")
+        self.set_header(ATTEMPT_ID, attempt)
         expected = self.request.headers.get(EXPECTED_INSTANCE)
         if expected is not None and expected != engine.settings.id:
             self.set_status(421)
@@ -172,7 +173,6 @@
             await asyncio.sleep(settings.work_ms / 1000)
             self.drop_connection()
             return
-        self.set_header(ATTEMPT_ID, attempt)
         self.set_header("X-Jayvalve-Server-Signature", f"{settings.id}.{attempt}")
         if engine.rng.random() < settings.error_share:
             self.set_status(500)
--- /dev/null
+++ b/tests/cover/test_gateway_faulty_engines.py
@@ -0,0 +1,178 @@
+"""Answers of faulty engines do not mislead callers about what has run or is complete."""
+
+import asyncio
+import contextlib
+import re
+
+from testtools.matchers import Not, StartsWith
+
+from tests.platform_support import Deployment
+from tests.ports import HOST, free_port
+from tests.support import AsyncTestCase
+
+NOT_RUN = "HTTP/1.1 503 Service Unavailable\r\nX-Jayvalve-Not-Executed: 1\r\nContent-Length: 4\r\n"
+
+
+class ScriptedEngine:
+    """An engine that answers each request with the bytes that a function returns.
+
+    Args:
+        answer: Called with the number of the request, from 0, and its id. Returns the bytes to
+            write, and whether the connection is closed after them.
+
+    """
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.requests = []
+        self._writers = set()
+
+    @contextlib.asynccontextmanager
+    async def run(self, deployment, name, service):
+        """Listen and write an entry to the store, until the context ends."""
+        port = free_port()
+        server = await asyncio.start_server(self._serve, HOST, port)
+        entry = {"service": service, "address": f"{HOST}:{port}", "zone": "zone-a"}
+        entry |= {"version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0}
+        deployment.store.put("keyed.servers", name, {**entry, "sequence": 1, "born": 1})
+        async with asyncio.timeout(5.0):
+            while name not in {key.id for key in deployment.gateways[0].engines}:
+                await asyncio.sleep(0.02)
+        try:
+            yield self
+        finally:
+            server.close()
+            for writer in self._writers:
+                writer.close()
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionResetError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                length = re.search(r"(?i)content-length: (\d+)", head)
+                await reader.readexactly(int(length.group(1)) if length else 0)
+                attempt = re.search(r"(?i)attempt-id: (\S+)", head).group(1)
+                self.requests.append(attempt)
+                data, closes = self.answer(len(self.requests) - 1, attempt)
+                writer.write(data)
+                await writer.drain()
+                if closes:
+                    break
+        writer.close()
+
+
+def success(attempt, body, content_type="application/json"):
+    return (
+        f"HTTP/1.1 200 OK\r\nX-Jayvalve-Attempt-Id: {attempt}\r\nX-Jayvalve-Server-Signature: s\r\n"
+        f"Content-Type: {content_type}\r\nContent-Length: {len(body)}\r\n\r\n{body}"
+    ).encode()
+
+
+class FaultyEngineTests(AsyncTestCase):
+    def play(self, work, *scripts, service="tools"):
+        async def run():
+            async with (
+                Deployment.run(models=0, tools=0) as deployment,
+                contextlib.AsyncExitStack() as stack,
+            ):
+                engines = [
+                    await stack.enter_async_context(
+                        ScriptedEngine(script).run(deployment, f"engine-{number}", service)
+                    )
+                    for number, script in enumerate(scripts)
+                ]
+                return await work(deployment, engines)
+
+        return self.run_async(run())
+
+    def check_late_refusal(self, identified):
+        """Check a booking whose engine first sends an earlier refusal once more."""
+
+        def answer(number, attempt):
+            if number == 0:
+                return success(attempt, "{}"), False
+            identity = "X-Jayvalve-Attempt-Id: earlier\r\n" if identified else ""
+            return f"{NOT_RUN}{identity}\r\nfull".encode() + success(attempt, "ran"), False
+
+        async def work(deployment, engines):
+            first = await deployment.call("/charge/1", attempt="first", body=b"x")
+            self.assertEqual(200, first.status)
+            second = await deployment.call("/charge/1", attempt="second", body=b"x")
+            await asyncio.sleep(0.1)
+            self.assertEqual(1, sum(engine.requests.count("second") for engine in engines))
+            return second.status
+
+        return self.play(work, answer)
+
+    def test_a_late_copy_of_a_refusal_is_no_refusal_of_a_running_request(self):
+        """Guards against REFUSED: callers told "not run" of a request that an engine runs."""
+        self.assertEqual(502, self.check_late_refusal(identified=False))
+
+    def test_a_late_copy_of_a_refusal_of_another_request_is_skipped(self):
+        """Guards against failing a request because of an answer that names another one."""
+        self.assertEqual(200, self.check_late_refusal(identified=True))
+
+    def test_a_late_copy_of_a_refusal_starts_no_second_run(self):
+        """Guards against TWICE: a request that goes on to a second engine while one runs it."""
+
+        def answer(number, attempt):
+            if number == 0:
+                return success(attempt, "{}"), False
+            return f"{NOT_RUN}\r\nfull".encode(), False
+
+        async def work(deployment, engines):
+            for number in range(20):
+                await deployment.call("/charge/1", attempt=f"first-{number}", body=b"x")
+                if all(engine.requests for engine in engines):
+                    break
+            answer = await deployment.call("/charge/1", attempt="second", body=b"x")
+            self.assertEqual(502, answer.status)
+            self.assertEqual(1, sum(engine.requests.count("second") for engine in engines))
+
+        self.play(work, answer, answer)
+
+    def test_an_error_while_a_stream_is_resumed_does_not_reach_its_text(self):
+        """Guards against ORDER and MIXED: an error's text inside a stream, or a complete look."""
+
+        def begin(number, attempt):
+            events = "".join(f"id: {n}\ndata: part {n}\n\n" for n in (1, 2))
+            whole = success(attempt, events + "id: 3\n", "text/event-stream")
+            return whole.replace(b"Content-Length: ", b"Content-Length: 9"), True
+
+        for status in ("500 Internal Server Error", "404 Not Found", "503 Service Unavailable"):
+
+            def fail(number, attempt, status=status):
+                if number % 2 == 0:
+                    return begin(number, attempt)
+                return (
+                    f"HTTP/1.1 {status}\r\nX-Jayvalve-Attempt-Id: {attempt}\r\n"
+                    "X-Jayvalve-Server-Signature: s\r\nContent-Length: 5\r\n\r\nerror"
+                ).encode(), False
+
+            async def work(deployment, engines):
+                answer = await deployment.call("/advice/1", attempt="a", body=b"x")
+                self.assertFalse(answer.whole)
+                self.assertNotIn(b"error", answer.body)
+                self.assertNotIn(b"HTTP/1.1", answer.body)
+                self.assertEqual(2, sum(len(engine.requests) for engine in engines))
+
+            self.play(work, fail, service="models")
+
+    def test_a_head_that_ends_early_is_never_a_success(self):
+        """Guards against MIXED: a 200 with an empty or short body that looks complete."""
+        whole = success("ATTEMPT", "body")
+        head_bytes = whole.index(b"\r\n\r\n") + 4
+
+        def answer(number, attempt):
+            cut = number % head_bytes
+            return whole.replace(b"ATTEMPT", attempt.encode())[:cut], True
+
+        async def work(deployment, engines):
+            for number in range(head_bytes):
+                # Ids as long as the placeholder, so that each byte of the head is an end once.
+                result = await deployment.call("/charge/1", attempt=f"{number:07d}", body=b"x")
+                self.assertThat(str(result.status), Not(StartsWith("2")))
+            self.assertEqual(head_bytes, len(engines[0].requests))
+
+        self.play(work, answer)
