Keep engines for other requests while suspected ones could end them

Two requests that crash engines at the same time took all five engines of a service, and each caller was refused until the first was back.

While half of the usual engines are missing, a request under which an engine has ended is refused with 503 instead of being tried; from its second end on, while a quarter is missing. An engine that has ended is no longer tried first until its entry disappears.

--- a/src/jayvalve/internal/gateway/crash_records.py
+++ b/src/jayvalve/internal/gateway/crash_records.py
@@ -105,6 +105,8 @@
         # Ordered by the time of the last record, oldest first.
         self._suspects: OrderedDict[str, _Suspect] = OrderedDict()
         self._has_culprits = False
+        # Engines that have ended, the latest last.
+        self._ended: OrderedDict[EngineKey, None] = OrderedDict()
 
     @property
     def blocked(self) -> int:
@@ -118,6 +120,10 @@
         self._expire()
         return not self._suspects
 
+    def has_ended(self, engine: EngineKey) -> bool:
+        """Return whether an engine has ended while it ran requests."""
+        return engine in self._ended
+
     def ends(self, fingerprint: str) -> int:
         """Return how many engines have ended while they ran a request and count against it."""
         self._expire()
@@ -184,6 +190,9 @@
         if engine in suspect.ends or at_s <= suspect.cleared_s:
             return False
         suspect.ends[engine] = at_s
+        self._ended[engine] = None
+        if len(self._ended) > self._settings.max_requests:
+            self._ended.popitem(last=False)
         self._suspects.move_to_end(fingerprint)
         while len(self._suspects) > self._settings.max_requests:
             self._suspects.popitem(last=False)
--- a/src/jayvalve/internal/gateway/sender.py
+++ b/src/jayvalve/internal/gateway/sender.py
@@ -45,7 +45,7 @@
     choose_engine,
 )
 from jayvalve.internal.gateway.priority import request_priority
-from jayvalve.internal.gateway.trials import RequestTrials
+from jayvalve.internal.gateway.trials import RequestTrials, UsualCapacity, may_risk_engine
 from jayvalve.internal.timing import Clock
 
 __all__ = ["EngineAnswer", "EngineSender", "SenderSettings"]
@@ -151,6 +151,7 @@
         self._crash_records = crash_records
         self._crashes = crashes
         self._trials = trials
+        self._usual_capacity = UsualCapacity(clock)
         self._directory = directory
         self._loads = loads
         self._health = health
@@ -239,14 +240,20 @@
                 engines ended while they ran it or because it runs at another engine now.
 
         """
+        live = sum(
+            not self._crash_records.has_ended(view.key)
+            for view in self._directory.candidates(call.service.name)
+        )
+        usual = self._usual_capacity.update(call.service.name, live)
         if self._crash_records.empty:
             return None
         fingerprint = _fingerprint(call)
-        if not self._crash_records.ends(fingerprint):
+        ends = self._crash_records.ends(fingerprint)
+        if not ends:
             return None
         retry_after_s = self._crash_records.blocked_for_s(fingerprint)
         if retry_after_s is None:
-            if await self._trials.begin(fingerprint):
+            if may_risk_engine(ends, live, usual) and await self._trials.begin(fingerprint):
                 return fingerprint
             retry_after_s = self._settings.trial_retry_after_s
         message = f"engines ended while they ran this request ({fingerprint})"
@@ -382,7 +389,7 @@
             service_s=view.service_s,
             remote=view.record.data_centre != self._data_centre,
             cached_tokens=self._prefixes.cached_tokens(call.info.prefix, view.key),
-            in_backoff=self._directory.is_avoided(view),
+            in_backoff=self._directory.is_avoided(view) or self._crash_records.has_ended(view.key),
             failure_share=self._health.failure_share(view.key.id),
             age_s=now - view.answered_s,
             permit_wait_s=self._permits.expected_wait_s(view.key),
--- a/src/jayvalve/internal/gateway/trials.py
+++ b/src/jayvalve/internal/gateway/trials.py
@@ -14,7 +14,7 @@
 from jayvalve.internal.gateway.peer_calls import PeerCalls, PeerTimeoutError
 from jayvalve.internal.timing import Clock
 
-__all__ = ["RequestTrials", "TrialSettings"]
+__all__ = ["RequestTrials", "TrialSettings", "UsualCapacity", "may_risk_engine"]
 
 _log = logger.bind(part="trials")
 
@@ -25,6 +25,41 @@
 _STOPPING = "leaving"
 
 
+def may_risk_engine(ends: int, live: int, usual: int) -> bool:
+    """Return whether a suspected request may be sent, which could end another engine.
+
+    While many engines are away, the others are kept for requests that are not suspected.
+
+    Args:
+        ends: Number of engines that have ended while they ran the request.
+        live: Number of engines of the service that accept requests.
+        usual: The same before engines ended.
+
+    """
+    missing = max(0, usual - live)
+    return missing * (4 if ends >= 2 else 2) < usual
+
+
+class UsualCapacity:
+    """Largest number of engines of each service that accepted requests lately."""
+
+    # Engines are back within some seconds.
+    WINDOW_S = 10.0
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._largest: dict[str, tuple[int, float]] = {}
+
+    def update(self, service: str, live: int) -> int:
+        """Note the present number of engines, and return the usual one."""
+        now = self._clock.now()
+        largest, at_s = self._largest.get(service, (0, now))
+        if live >= largest or now - at_s > self.WINDOW_S:
+            largest, at_s = live, now
+        self._largest[service] = largest, at_s
+        return largest
+
+
 @attrs.frozen
 class TrialSettings:
     """Parameters of trials.
--- a/tests/cover/test_gateway_crashes.py
+++ b/tests/cover/test_gateway_crashes.py
@@ -16,7 +16,12 @@
 from jayvalve.internal.gateway.http_client import HttpPool, PoolSettings
 from jayvalve.internal.gateway.model import EngineKey
 from jayvalve.internal.gateway.peer_calls import CallSettings, PeerCalls
-from jayvalve.internal.gateway.trials import RequestTrials, TrialSettings
+from jayvalve.internal.gateway.trials import (
+    RequestTrials,
+    TrialSettings,
+    UsualCapacity,
+    may_risk_engine,
+)
 from jayvalve.internal.timing import Clock, ManualClock
 from tests.fakes_network import LoopClock
 from tests.gateway_fleet import Datagrams, run_virtual
@@ -270,6 +275,30 @@
         self.assertTrue(self.play(work))
 
 
+class CapacityTests(TestCase):
+    def test_suspected_requests_leave_engines_to_the_others(self):
+        """Guards against two such requests that together end all engines of a service."""
+        self.assertTrue(may_risk_engine(1, live=5, usual=5))
+        self.assertTrue(may_risk_engine(1, live=3, usual=5))
+        self.assertFalse(may_risk_engine(1, live=2, usual=5))
+        self.assertTrue(may_risk_engine(2, live=4, usual=5))
+        self.assertFalse(may_risk_engine(2, live=3, usual=5))
+
+    def test_a_service_that_has_all_its_engines_refuses_no_suspected_request(self):
+        """Guards against refusing a sound request that only ran beside another one."""
+        for engines in range(1, 10):
+            self.assertTrue(may_risk_engine(2, live=engines, usual=engines))
+
+    def test_the_usual_capacity_follows_a_service_that_stays_smaller(self):
+        """Guards against refusing suspected requests for ever after engines were taken away."""
+        clock = ManualClock(100.0)
+        capacity = UsualCapacity(clock)
+        self.assertEqual(5, capacity.update("models", 5))
+        self.assertEqual(5, capacity.update("models", 2))
+        clock.advance(UsualCapacity.WINDOW_S + 0.1)
+        self.assertEqual(2, capacity.update("models", 2))
+
+
 class CrashingRequestTests(AsyncTestCase):
     def test_a_request_that_ends_engines_is_refused_at_all_gateways_after_three(self):
         """Guards against gateways that each send such a request to further engines."""
