Soak: engines name limits, announce their end and end under requests

A series of its own, with its own seed, so that kept seeds draw the same faults as before. The checks of the soak are unchanged: at most once, refusals, kept turns, budgets, streams.

--- a/src/jayvalve/standins/platform_engine.py
+++ b/src/jayvalve/standins/platform_engine.py
@@ -92,6 +92,10 @@
         self.ended = False
         self.slot_freed = asyncio.Condition()
 
+    def begin_incarnation(self) -> None:
+        """Give the engine a new start time, as after a restart under the same id."""
+        self.born_ms = max(self.born_ms + 1, time.time_ns() // 1_000_000)
+
     @classmethod
     def from_config(cls, config: Mapping[str, object]) -> "PlatformEngine":
         """Build the engine from the fields of PlatformEngineSettings."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -165,19 +165,44 @@
         fleet.store.away_parts = frozenset()
 
 
+async def _change_engine_states(fleet: Fleet, rng: random.Random, end: float) -> None:
+    """Make engines name a limit, announce their end in answers, or end because of a request.
+
+    Ends when the clock of the event loop reaches the given time.
+    """
+    loop = asyncio.get_running_loop()
+    while (remaining_s := end - loop.time()) > 0:
+        await asyncio.sleep(min(rng.uniform(0.2, 1.5), remaining_s))
+        name = rng.choice(sorted(fleet.engines))
+        engine = fleet.engines[name]
+        change = rng.choice(["limit", "leave", "crash"])
+        seconds = rng.uniform(0.3, 2.5)
+        if change == "limit":
+            engine.settings = attrs.evolve(engine.settings, limit_per_s=rng.uniform(0.0, 8.0))
+        elif change == "leave":
+            engine.settings = attrs.evolve(engine.settings, leaving=True)
+        else:
+            await fleet.crash_engine(name, seconds / 2)
+        await asyncio.sleep(min(seconds, max(0.0, end - loop.time())))
+        engine.settings = attrs.evolve(engine.settings, limit_per_s=None, leaving=False)
+        if change == "leave":
+            fleet.restart_engine(name)
+
+
 async def inject(
     fleet: Fleet, rng: random.Random, seconds: float, partitions_seed: str
 ) -> list[str]:
-    """Inject two overlapping series of faults and partition outages; return the faults' names.
+    """Inject overlapping series of faults; return the names of those drawn from FAULTS.
 
-    The names are in the order in which the faults began; partition outages are not included.
+    The names are in the order in which the faults began. Partition outages and changes of the
+    engines' states, each a series of its own, are not included.
 
     Args:
         fleet: Fleet to inject the faults into.
         rng: Source of the random choice of faults.
         seconds: How long to inject faults.
-        partitions_seed: Seed of the partition outages. It is separate from rng, so that seeds
-            that failed before the outages were added still draw the same faults.
+        partitions_seed: Seed of the partition outages and of the engines' states. It is separate
+            from rng, so that seeds that failed before these were added still draw the same faults.
 
     """
     names: list[str] = []
@@ -191,5 +216,6 @@
             await asyncio.sleep(rng.uniform(0.0, 0.5))
 
     outages = _inject_partition_outages(fleet, random.Random(partitions_seed), end)
-    await asyncio.gather(series(), series(), outages)
+    states = _change_engine_states(fleet, random.Random(f"{partitions_seed}/engines"), end)
+    await asyncio.gather(series(), series(), outages, states)
     return names
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -15,7 +15,7 @@
 from jayvalve.standins.platform_store import PlatformStore, PlatformStoreSettings
 from tests.platform_support import configuration, request
 from tests.ports import HOST, free_port, free_port_pair
-from tests.soak.proxy import Proxy
+from tests.soak.proxy import LinkFault, Proxy
 
 __all__ = ["Fleet", "GatewayNode"]
 
@@ -206,6 +206,20 @@
         entry = self.engines[name].entry(service, address, state)
         self.store.put("keyed.servers", name, entry)
 
+    def restart_engine(self, name: str) -> None:
+        """Publish the next incarnation of an engine, which has the same id and address."""
+        self.engines[name].begin_incarnation()
+        self.announce(name, "ready")
+
+    async def crash_engine(self, name: str, seconds: float) -> None:
+        """End an engine: reset its connections and refuse new ones, then start it again."""
+        link = self.engine_links[name]
+        link.fault = LinkFault.REFUSE
+        link.reset()
+        await asyncio.sleep(seconds)
+        link.fault = LinkFault.NONE
+        self.restart_engine(name)
+
     async def _add_engine(self, name: str, service: str, streaming: bool) -> None:
         seed = self.rng.randrange(1 << 30)
         engine = PlatformEngine(
