Split the choice of engines and the shared state from sender and process; bound repetitions

The choice of an engine with its permit (engine_choice), the guard against requests that end engines (crash_guard) and the parts that gateways share (fleet_state) are modules of their own; behaviour is the same.

Notices were repeated to all gateways each second, which grows with the square of the fleet: 740 KB/s received at 350 gateways (calculated from the measured 33 B an engine).

--- a/src/jayvalve/internal/gateway/notices.py
+++ b/src/jayvalve/internal/gateway/notices.py
@@ -22,11 +22,14 @@
         min_interval_s: Minimum time between two rounds of messages, in seconds.
         keepalive_interval_s: Time after which the items are repeated, for gateways that have
             started or missed a message, in seconds.
+        keepalive_fan_out: Maximum number of gateways, in turn, to which they are repeated. Each
+            then gets as many messages a second, whatever the size of the fleet. News go to all.
 
     """
 
     min_interval_s: float = 0.05
     keepalive_interval_s: float = 1.0
+    keepalive_fan_out: int = 8
 
 
 class RepeatedNotices:
@@ -57,6 +60,7 @@
         self._targets = targets
         self._settings = settings
         self._changed = asyncio.Event()
+        self._turn = 0
         calls.on_notice(kind)(on_items)
 
     def notify_change(self) -> None:
@@ -69,9 +73,19 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self._settings.keepalive_interval_s):
                     await self._changed.wait()
+            news = self._changed.is_set()
             self._changed.clear()
             items = self._items()
             if items:
-                for address in self._targets():
+                for address in self._choose_targets(news):
                     self._calls.notify(address, self._kind, items)
             await asyncio.sleep(self._settings.min_interval_s)
+
+    def _choose_targets(self, news: bool) -> list[Address]:
+        targets = list(self._targets())
+        count = self._settings.keepalive_fan_out
+        if news or len(targets) <= count:
+            return targets
+        chosen = [targets[(self._turn + index) % len(targets)] for index in range(count)]
+        self._turn += count
+        return chosen
--- a/src/jayvalve/internal/gateway/sender.py
+++ b/src/jayvalve/internal/gateway/sender.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from http import HTTPStatus
+from typing import Self
 
 import attrs
 from loguru import logger
@@ -13,17 +14,12 @@
     DeadlineUnreachableError,
     EndpointFailedError,
     InvalidHeaderError,
-    JayvalveError,
-    NoEndpointError,
-    OverloadedError,
-    RequestBlockedError,
 )
 from jayvalve.internal.gateway.calls import AttemptHistory, AttemptRecord, Call, HeaderCodec
-from jayvalve.internal.gateway.crash_records import CrashRecords
-from jayvalve.internal.gateway.crashes import CrashDetector, fingerprint_of
-from jayvalve.internal.gateway.departures import Departures
+from jayvalve.internal.gateway.crash_guard import CrashGuard
 from jayvalve.internal.gateway.directory import EngineDirectory, EngineView
-from jayvalve.internal.gateway.engine_limits import EngineLimits
+from jayvalve.internal.gateway.engine_choice import EngineChooser, no_attempt_error
+from jayvalve.internal.gateway.fleet_state import FleetState
 from jayvalve.internal.gateway.health import HealthTracker
 from jayvalve.internal.gateway.http_client import (
     BrokenConnectionError,
@@ -34,21 +30,10 @@
     ResponseHead,
 )
 from jayvalve.internal.gateway.loads import PeerLoads
-from jayvalve.internal.gateway.model import EngineKey
-from jayvalve.internal.gateway.permits import SendPermits
-from jayvalve.internal.gateway.placement import (
-    Candidate,
-    Placement,
-    PlacementNeed,
-    PlacementSettings,
-    PrefixMemory,
-    choose_engine,
-)
 from jayvalve.internal.gateway.priority import request_priority
-from jayvalve.internal.gateway.trials import RequestTrials, UsualCapacity, may_risk_engine
 from jayvalve.internal.timing import Clock
 
-__all__ = ["EngineAnswer", "EngineSender", "SenderSettings"]
+__all__ = ["EngineAnswer", "EngineSender", "SenderParts", "SenderSettings"]
 
 _log = logger.bind(part="sender")
 
@@ -63,27 +48,12 @@
             idempotent call is sent to another engine, as a multiple of the route's target time.
         head_timeout_service_factor: The same as a multiple of the engine's average service time.
             The longer of the two applies.
-        permit_wait_target_factor: How long a call may wait for a permit of an engine that has
-            limited its rate, as a multiple of the route's target time. Calls that would have to
-            wait for longer are refused at once, so that the others are answered in time.
-        permit_slack_s: How much longer than expected a call waits for a permit before another
-            engine is considered, in seconds.
-        max_permit_rounds: Maximum number of times that a call without a permit is placed again.
-        trial_retry_after_s: When a caller may repeat a request that runs elsewhere and under
-            which an engine has ended, in seconds.
-        leaving_retry_after_s: When a caller may repeat a request while all engines of the service
-            leave, in seconds. A new engine is seen within a second of its first entry.
 
     """
 
     max_sends: int = 4
     head_timeout_target_factor: float = 0.8
     head_timeout_service_factor: float = 5.0
-    permit_wait_target_factor: float = 0.5
-    permit_slack_s: float = 0.03
-    max_permit_rounds: int = 12
-    trial_retry_after_s: float = 0.3
-    leaving_retry_after_s: float = 1.0
 
 
 @attrs.define
@@ -110,61 +80,80 @@
     trial: str | None = None
 
 
-class EngineSender:
-    """Places calls on engines and sends them.
+@attrs.frozen
+class SenderParts:
+    """Parts that a sender works with.
 
-    Args:
+    Attributes:
         on_load_change: Called when this gateway's requests at an engine change.
-        departures: Learns which engines announce in their answers that they leave.
-        limits: Learns the limits that engines name in their answers.
-        permits: Grants requests to engines that have limited their rate.
-        crash_records: Requests that are not sent because engines ended while they ran them.
-        crashes: Finds out whether an engine has ended when a request breaks off there.
-        trials: Lets a request under which an engine has ended run at one engine at a time.
         refresh_loads: Called before an engine is chosen, to read the loads that other gateways
             have reported.
 
     """
 
+    directory: EngineDirectory
+    loads: PeerLoads
+    health: HealthTracker
+    pool: HttpPool
+    codec: HeaderCodec
+    shared: FleetState
+    on_load_change: Callable[[], None]
+    refresh_loads: Callable[[], None]
+
+
+class EngineSender:
+    """Places calls on engines and sends them.
+
+    Args:
+        chooser: Chooses the engine of each attempt.
+        guard: Decides whether a call may be sent after engines have ended under it.
+
+    """
+
     def __init__(
-        self,
-        directory: EngineDirectory,
-        loads: PeerLoads,
-        health: HealthTracker,
-        pool: HttpPool,
-        codec: HeaderCodec,
-        clock: Clock,
-        rng: random.Random,
-        data_centre: str,
-        on_load_change: Callable[[], None],
-        departures: Departures,
-        limits: EngineLimits,
-        permits: SendPermits,
-        crash_records: CrashRecords,
-        crashes: CrashDetector,
-        trials: RequestTrials,
-        refresh_loads: Callable[[], None] = lambda: None,
+        self, parts: SenderParts, chooser: EngineChooser, guard: CrashGuard, clock: Clock
     ) -> None:
-        self._departures = departures
-        self._limits = limits
-        self._permits = permits
-        self._crash_records = crash_records
-        self._crashes = crashes
-        self._trials = trials
-        self._usual_capacity = UsualCapacity(clock)
-        self._directory = directory
-        self._loads = loads
-        self._health = health
-        self._pool = pool
-        self._codec = codec
+        self._directory = parts.directory
+        self._chooser = chooser
+        self._guard = guard
+        self._departures = parts.shared.departures
+        self._limits = parts.shared.limits
+        self._health = parts.health
+        self._pool = parts.pool
+        self._codec = parts.codec
         self._clock = clock
-        self._rng = rng
-        self._data_centre = data_centre
-        self._on_load_change = on_load_change
-        self._refresh_loads = refresh_loads
+        self._on_load_change = parts.on_load_change
         self._settings = SenderSettings()
-        self._placement = PlacementSettings()
-        self._prefixes = PrefixMemory()
+
+    @classmethod
+    def from_config(
+        cls, parts: SenderParts, data_centre: str, clock: Clock, rng: random.Random
+    ) -> Self:
+        """Create a sender with its own chooser and guard.
+
+        Args:
+            parts: Parts that the sender works with.
+            data_centre: Data centre of this gateway.
+            clock: Clock of the process.
+            rng: Source of the small random costs that keep equal gateways apart.
+
+        """
+        shared = parts.shared
+        guard = CrashGuard(
+            shared.crash_records, shared.crashes, shared.trials, parts.directory, clock
+        )
+        chooser = EngineChooser(
+            parts.directory,
+            parts.loads,
+            parts.health,
+            shared.permits,
+            guard,
+            clock,
+            rng,
+            data_centre,
+            parts.refresh_loads,
+        )
+        return cls(parts, chooser, guard, clock)
 
     def running(self) -> dict[str, tuple[int, int]]:
         """Return the number of this gateway's requests at each engine, and their tokens."""
@@ -190,13 +179,13 @@
 
         """
         while True:
-            trial = await self._begin_trial(call, history)
+            trial = await self._guard.begin(call, history)
             answer: EngineAnswer | None = None
             try:
                 answer = await self._place_and_send(call, history, extra_headers)
             finally:
                 if trial is not None and answer is None:
-                    self._crashes.end_trial(trial)
+                    self._guard.end(trial)
             if answer is not None:
                 answer.trial = trial
                 return answer
@@ -218,206 +207,33 @@
         if self._departures.is_announced(answer.view.key):
             self._pool.discard(answer.view.record.address)
         if answer.trial is not None:
-            self._crashes.end_trial(answer.trial)
+            self._guard.end(answer.trial)
         if received:
             failed = answer.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
             self._health.record(answer.view.key.id, failed)
-            if not self._crash_records.empty:
-                self._crashes.record_complete(_fingerprint(answer.call))
+            self._guard.record_complete(answer.call)
             if not failed:
                 self._directory.record_success(answer.view, elapsed_s)
 
     def record_broken(self, answer: EngineAnswer) -> None:
         """Record that an engine's answer broke off."""
         self._health.record(answer.view.key.id, failed=True)
-        self._check_end(answer.call, answer.view)
-
-    async def _begin_trial(self, call: Call, history: AttemptHistory) -> str | None:
-        """Return the fingerprint of a call under which an engine has ended, or None.
-
-        Raises:
-            RequestBlockedError, EndpointFailedError: the call must not be sent, because too many
-                engines ended while they ran it or because it runs at another engine now.
-
-        """
-        live = sum(
-            not self._crash_records.has_ended(view.key)
-            for view in self._directory.candidates(call.service.name)
-        )
-        usual = self._usual_capacity.update(call.service.name, live)
-        if self._crash_records.empty:
-            return None
-        fingerprint = _fingerprint(call)
-        ends = self._crash_records.ends(fingerprint)
-        if not ends:
-            return None
-        retry_after_s = self._crash_records.blocked_for_s(fingerprint)
-        if retry_after_s is None:
-            if may_risk_engine(ends, live, usual) and await self._trials.begin(fingerprint):
-                return fingerprint
-            retry_after_s = self._settings.trial_retry_after_s
-        message = f"engines ended while they ran this request ({fingerprint})"
-        if history.may_have_run:
-            raise EndpointFailedError(message)
-        raise RequestBlockedError(message, retry_after_s=retry_after_s)
-
-    def _check_end(self, call: Call, view: EngineView) -> None:
-        self._crashes.record_broken(view.key, view.record.address, _fingerprint(call))
+        self._guard.record_broken(answer.call, answer.view)
 
     async def _place_and_send(
         self, call: Call, history: AttemptHistory, extra_headers: tuple[tuple[str, str], ...]
     ) -> EngineAnswer | None:
         """Choose an engine and send a call; return its answer, or None for another attempt."""
-        view, placement, permit_s = await self._place_with_permit(call, history)
+        chosen = await self._chooser.choose(call, history)
         attempt = AttemptRecord(
-            view.key.id,
-            placement.candidate.load,
-            placement.candidate.cached_tokens,
-            placement.wait_s,
-            permit_s,
+            chosen.view.key.id,
+            chosen.placement.candidate.load,
+            chosen.placement.candidate.cached_tokens,
+            chosen.placement.wait_s,
+            chosen.permit_s,
         )
         history.attempts.append(attempt)
-        return await self._attempt(call, view, attempt, history, extra_headers)
-
-    async def _place_with_permit(
-        self, call: Call, history: AttemptHistory
-    ) -> tuple[EngineView, Placement, float | None]:
-        """Choose an engine, and wait until a request may be sent to it.
-
-        Returns:
-            The engine, its placement, and the time waited for a permit or None if none is needed.
-
-        """
-        started_s = self._clock.now()
-        for _ in range(self._settings.max_permit_rounds):
-            view, placement = self._place(call, history)
-            if not self._permits.is_limited(view.key):
-                return view, placement, None
-            expected_s = placement.candidate.permit_wait_s
-            delay_s = await self._permits.acquire(
-                view.key,
-                min(
-                    expected_s + self._settings.permit_slack_s,
-                    self._longest_permit_wait_s(call, view),
-                ),
-                urgent=call.route.rank == 0,
-            )
-            if delay_s is None:
-                continue
-            await asyncio.sleep(delay_s)
-            if self._directory.accepts(view):
-                return view, placement, self._clock.now() - started_s
-        raise self._limited_error(history, self._settings.permit_slack_s)
-
-    def _longest_permit_wait_s(self, call: Call, view: EngineView) -> float:
-        """Return how long a call may wait for a permit and still be answered in time."""
-        return max(
-            0.0,
-            min(
-                call.route.target_s * self._settings.permit_wait_target_factor,
-                call.deadline.remaining_s - (view.service_s or 0.0),
-            ),
-        )
-
-    def _place(self, call: Call, history: AttemptHistory) -> tuple[EngineView, Placement]:
-        self._refresh_loads()
-        now = self._clock.now()
-        views = {
-            view.key: view
-            for view in self._directory.candidates(call.service.name)
-            if view.key not in history.refused
-        }
-        untried = {key: view for key, view in views.items() if key not in history.may_have_run}
-        candidates = [self._candidate(view, call, now) for view in (untried or views).values()]
-        candidates = self._drop_limited(candidates, views, call, history)
-        need = PlacementNeed(
-            call.info.prompt_tokens, call.info.max_output_tokens, call.route.repeatable
-        )
-        placement = choose_engine(candidates, need, self._placement, self._rng)
-        if placement is None:
-            leaving = self._directory.all_leave(call.service.name)
-            self._raise_no_attempt_left(history, leaving)
-        if placement.wait_s >= call.deadline.remaining_s and not history.may_have_run:
-            raise DeadlineUnreachableError(
-                f"expected wait {placement.wait_s:.2f} s exceeds the time left",
-                retry_after_s=max(0.1, placement.wait_s / 2),
-            )
-        return views[placement.candidate.key], placement
-
-    def _drop_limited(
-        self,
-        candidates: list[Candidate],
-        views: Mapping[EngineKey, EngineView],
-        call: Call,
-        history: AttemptHistory,
-    ) -> list[Candidate]:
-        """Return the engines of which a permit can be had in time.
-
-        Raises:
-            OverloadedError, EndpointFailedError: there are engines, but no such one.
-
-        """
-        within_limit = [
-            candidate
-            for candidate in candidates
-            if candidate.permit_wait_s <= self._longest_permit_wait_s(call, views[candidate.key])
-        ]
-        if candidates and not within_limit:
-            wait_s = min(candidate.permit_wait_s for candidate in candidates)
-            raise self._limited_error(history, wait_s)
-        return within_limit
-
-    @staticmethod
-    def _limited_error(history: AttemptHistory, wait_s: float) -> JayvalveError:
-        """Return the error of a call that no engine takes, as all have reached their limits."""
-        if history.may_have_run:
-            return EndpointFailedError("each other engine has reached its limit of requests")
-        return OverloadedError(
-            "each engine of the service has reached its limit of requests",
-            retry_after_s=max(0.1, wait_s),
-        )
-
-    def _candidate(self, view: EngineView, call: Call, now: float) -> Candidate:
-        requests, tokens = self._loads.running(view.key.id)
-        model = call.service.model
-        return Candidate(
-            key=view.key,
-            slots=view.record.slots,
-            load=view.running + requests,
-            tokens=view.tokens + tokens,
-            memory_tokens=model.kv_cache_tokens if model is not None else None,
-            service_s=view.service_s,
-            remote=view.record.data_centre != self._data_centre,
-            cached_tokens=self._prefixes.cached_tokens(call.info.prefix, view.key),
-            in_backoff=self._directory.is_avoided(view) or self._crash_records.has_ended(view.key),
-            failure_share=self._health.failure_share(view.key.id),
-            age_s=now - view.answered_s,
-            permit_wait_s=self._permits.expected_wait_s(view.key),
-        )
-
-    def _raise_no_attempt_left(self, history: AttemptHistory, leaving: bool = False) -> None:
-        """Raise the error of a call for which no further attempt can be made.
-
-        Args:
-            history: Attempts of the call so far.
-            leaving: Whether all engines of the service are leaving.
-
-        """
-        if history.may_have_run:
-            raise EndpointFailedError(
-                "the call has no attempts left or there is no other engine to try"
-            )
-        if history.refused:
-            raise OverloadedError(
-                "each engine that was tried refused the call or could not be reached",
-                retry_after_s=0.15,
-            )
-        if leaving:
-            raise NoEndpointError(
-                "all engines of the service are leaving",
-                retry_after_s=self._settings.leaving_retry_after_s,
-            )
-        raise NoEndpointError("no engine of the service accepts requests", retry_after_s=0.3)
+        return await self._attempt(call, chosen.view, attempt, history, extra_headers)
 
     async def _attempt(
         self,
@@ -458,7 +274,7 @@
                     self._health.record(view.key.id, failed=True)
             else:
                 attempt.outcome = f"answered {head.status}"
-                self._prefixes.record(call.info.prefix, view.key)
+                self._chooser.record_prefix(call, view.key)
                 answer = EngineAnswer(view, exchange, head, attempt, started_s, tokens, call)
         except NotSentError:
             attempt.outcome = "not sent"
@@ -475,7 +291,7 @@
                 if exchange is not None:
                     exchange.abort()
         if len(history.attempts) >= self._settings.max_sends and answer is None:
-            self._raise_no_attempt_left(history)
+            raise no_attempt_error(history)
         return answer
 
     def _learn_state(self, view: EngineView, head: ResponseHead) -> None:
@@ -508,7 +324,7 @@
         if isinstance(error, BrokenConnectionError):
             attempt.outcome = "broken"
             self._record_failure(view)
-            self._check_end(call, view)
+            self._guard.record_broken(call, view)
             return
         attempt.outcome = "silent"
         # A timeout is not recorded as a failure if the engine has completed another answer since
@@ -573,7 +389,3 @@
         """Return a function that checks whether an engine's answer belongs to the call."""
         attempt_id = call.info.attempt_id
         return lambda head: self._codec.is_answer_to(attempt_id, head.status, head.headers)
-
-
-def _fingerprint(call: Call) -> str:
-    return fingerprint_of(call.request, call.info.program)
--- a/src/jayvalve/internal/measure/capacity/child.py
+++ b/src/jayvalve/internal/measure/capacity/child.py
@@ -5,7 +5,12 @@
 
 from loguru import logger
 
-from jayvalve.internal.measure.capacity import inventory, log_rates, programs  # noqa: F401
+from jayvalve.internal.measure.capacity import (  # noqa: F401
+    inventory,
+    log_rates,
+    programs,
+    shared_counts,
+)
 from jayvalve.internal.measure.capacity.bench import STATE_BENCHES
 
 __all__ = ["main"]
--- a/src/jayvalve/internal/measure/capacity/run.py
+++ b/src/jayvalve/internal/measure/capacity/run.py
@@ -12,7 +12,12 @@
 from loguru import logger
 
 from jayvalve.errors import InternalError
-from jayvalve.internal.measure.capacity import inventory, log_rates, programs  # noqa: F401
+from jayvalve.internal.measure.capacity import (  # noqa: F401
+    inventory,
+    log_rates,
+    programs,
+    shared_counts,
+)
 from jayvalve.internal.measure.capacity.bench import STATE_BENCHES, Row, fit_rows
 from jayvalve.internal.measure.capacity.peers import measure_connections, measure_peers
 from jayvalve.internal.measure.capacity.traffic import measure_traffic
--- a/src/jayvalve/platform/process.py
+++ b/src/jayvalve/platform/process.py
@@ -7,44 +7,31 @@
 import os
 import random
 import signal
-from collections.abc import Callable
 from typing import Any, Self
 
 from jayvalve.errors import InvalidSettingsError, UnavailableError
 from jayvalve.internal.gateway.budgets import BudgetSettings, TurnBudgets
-from jayvalve.internal.gateway.coordinators import Coordinators
-from jayvalve.internal.gateway.crash_records import CrashRecords, CrashSettings
-from jayvalve.internal.gateway.crashes import CRASH_NOTICES, CrashDetector
 from jayvalve.internal.gateway.decisions import DecisionLog, LogLimits, LogWriter
-from jayvalve.internal.gateway.departures import (
-    DEPARTURE_NOTICES,
-    Departures,
-    DepartureSettings,
-)
 from jayvalve.internal.gateway.directory import DirectorySettings, EngineDirectory
-from jayvalve.internal.gateway.engine_limits import EngineLimits, LimitSettings
+from jayvalve.internal.gateway.fleet_state import FleetMembers, FleetState
 from jayvalve.internal.gateway.follower import FollowerSettings, KeyedFollower
 from jayvalve.internal.gateway.frontend import Frontend
 from jayvalve.internal.gateway.health import HealthSettings, HealthTracker
 from jayvalve.internal.gateway.http_client import HttpPool, PoolSettings
 from jayvalve.internal.gateway.leases import HOLDER_LEASES
 from jayvalve.internal.gateway.ledger import BudgetLedger, LedgerSettings
-from jayvalve.internal.gateway.limit_messages import LIMIT_NOTICES, LimitMessages
 from jayvalve.internal.gateway.loads import PeerLoads, PeerSettings
 from jayvalve.internal.gateway.loop_monitor import LoopMonitor, MonitorSettings
 from jayvalve.internal.gateway.model import CallerLimits, EngineKey
-from jayvalve.internal.gateway.notices import NoticeSettings, RepeatedNotices
 from jayvalve.internal.gateway.partitions import PartitionMap
 from jayvalve.internal.gateway.peer_calls import CallSettings, PeerCalls
 from jayvalve.internal.gateway.peer_directory import DirectoryRetention, PeerDirectory
 from jayvalve.internal.gateway.peers import CallSocket, LoadExchange
-from jayvalve.internal.gateway.permits import PermitSettings, SendPermits
-from jayvalve.internal.gateway.sender import EngineSender
+from jayvalve.internal.gateway.sender import EngineSender, SenderParts
 from jayvalve.internal.gateway.service import GatewayService
 from jayvalve.internal.gateway.status import StatusServer
 from jayvalve.internal.gateway.storage import Storage, StorageSettings
 from jayvalve.internal.gateway.store_paths import PathSettings, StorePaths
-from jayvalve.internal.gateway.trials import RequestTrials, TrialSettings
 from jayvalve.internal.gateway.turn_locations import LocationSettings, TurnLocations
 from jayvalve.internal.gateway.turns import TurnSettings, TurnStore
 from jayvalve.internal.metrics import Metrics
@@ -167,9 +154,7 @@
             "idle leases": self._ledger.run,
             "remote turns": self._budgets.run,
             "loads": self._exchange.run,
-            "limits": self._limit_notices.run,
-            "crashes": self._crash_notices.run,
-            "departures": self._departure_notices.run,
+            **self._fleet_state.tasks(),
             "loop monitor": self._loop_monitor.run,
             "announcement": self._announce_address,
             "expired accounts": self._expire_accounts,
@@ -191,7 +176,7 @@
         self._log.write("drain", running=self._service.running)
         with contextlib.suppress(UnavailableError):
             await self._register.withdraw(self._settings.instance, 0.5)
-        self._coordinators.withdraw()
+        self._fleet_state.coordinators.withdraw()
         self._frontend.begin_closing()
         await self._budgets.hand_over()
         await asyncio.sleep(DEREGISTRATION_DELAY_S)
@@ -261,39 +246,9 @@
             ),
             self._fetch_turn,
         )
-        self._departures = Departures(
-            clock, DepartureSettings(), lambda: self._departure_notices.notify_change()
-        )
-        self._departure_notices = self._new_notices(
-            DEPARTURE_NOTICES, self._departures.items, self._departures.receive
-        )
-        self._directory = EngineDirectory(
-            clock,
-            DirectorySettings(),
-            self._departures,
-            lambda engine: self._crashes.record_restart(engine),
-        )
         self._health = HealthTracker(clock, HealthSettings(), settings.data_centre)
-        self._build_limits()
-        self._build_crashes()
-        self._sender = EngineSender(
-            self._directory,
-            self._loads,
-            self._health,
-            self._engine_pool,
-            PlatformHeaders(),
-            clock,
-            self._rng,
-            settings.data_centre,
-            lambda: self._exchange.notify_change(),
-            self._departures,
-            self._limits,
-            self._permits,
-            self._crash_records,
-            self._crashes,
-            self._trials,
-            lambda: self._exchange.receive(),
-        )
+        self._build_fleet_state()
+        self._build_sender()
         self._exchange = LoadExchange(
             self._name,
             self._loads,
@@ -340,52 +295,37 @@
             BudgetSettings(),
         )
 
-    def _build_limits(self) -> None:
-        clock = self._clock
-        self._limits = EngineLimits(
-            clock, LimitSettings(), lambda: self._limit_notices.notify_change()
-        )
-        limit_messages = LimitMessages(self._limits)
-        self._limit_notices = self._new_notices(
-            LIMIT_NOTICES, limit_messages.items, limit_messages.receive
-        )
-        self._coordinators = Coordinators(self._settings.peer, self._loads.live_addresses, clock)
-        self._permits = SendPermits(
-            self._limits,
-            self._calls,
-            self._coordinators,
+    def _build_fleet_state(self) -> None:
+        live = self._loads.live_addresses
+        members = FleetMembers(
+            self._settings.peer,
+            live,
+            lambda: self._peer_directory.message_targets(live()),
             lambda: self._peer_directory.known,
-            clock,
-            PermitSettings(),
-            self._metrics,
-        )
-
-    def _build_crashes(self) -> None:
-        self._crash_records = CrashRecords(self._clock, CrashSettings())
-        self._trials = RequestTrials(
-            self._crash_records, self._calls, self._coordinators, self._clock, TrialSettings()
-        )
-        self._crashes = CrashDetector(
-            self._crash_records,
-            self._engine_pool,
-            self._trials,
-            self._clock,
-            lambda: self._crash_notices.notify_change(),
         )
-        self._crash_notices = self._new_notices(
-            CRASH_NOTICES, self._crashes.items, self._crashes.receive
+        self._fleet_state = FleetState.from_config(
+            members, self._calls, self._engine_pool, self._clock, self._metrics
         )
 
-    def _new_notices(
-        self, kind: str, items: Callable[[], list[Any]], on_items: Callable[[list[Any]], None]
-    ) -> RepeatedNotices:
-        return RepeatedNotices(
-            kind,
-            items,
-            on_items,
-            self._calls,
-            lambda: self._peer_directory.message_targets(self._loads.live_addresses()),
-            NoticeSettings(),
+    def _build_sender(self) -> None:
+        settings, clock, shared = self._settings, self._clock, self._fleet_state
+        self._directory = EngineDirectory(
+            clock, DirectorySettings(), shared.departures, shared.crashes.record_restart
+        )
+        self._sender = EngineSender.from_config(
+            SenderParts(
+                self._directory,
+                self._loads,
+                self._health,
+                self._engine_pool,
+                PlatformHeaders(),
+                shared,
+                lambda: self._exchange.notify_change(),
+                lambda: self._exchange.receive(),
+            ),
+            settings.data_centre,
+            clock,
+            self._rng,
         )
 
     async def _fetch_turn(
@@ -444,15 +384,7 @@
                 "turns elsewhere with tokens of this one",
             ),
             "engine_failures": (lambda: len(self._health.report()), "engines that failed lately"),
-            "leaving_engines": (
-                lambda: self._departures.announced,
-                "engines that announced their end in an answer",
-            ),
-            "limited_engines": (lambda: self._limits.limited, "engines that name a limit"),
-            "blocked_requests": (
-                lambda: self._crash_records.blocked,
-                "requests not sent because engines ended",
-            ),
+            **self._fleet_state.gauges(),
             "turn_memory_bytes": (lambda: self._turns.memory_bytes, "texts of turns in memory"),
         }
         for name, (read_value, help_text) in gauges.items():
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -61,6 +61,9 @@
             "entry_cpu_single_calls",
             "entry_cpu_streamed_tokens",
             "entry_cpu_call_by_history_tokens",
+            "permit_cpu",
+            "limit_notice_bytes",
+            "crash_record_memory",
         }
         self.assertEqual(set(), wanted - rows.keys())
         self.assertTrue(all(share == 1.0 for share in rows["peer_live_share"]))
--- a/tests/cover/test_gateway_limits.py
+++ b/tests/cover/test_gateway_limits.py
@@ -354,6 +354,45 @@
         self.assertTrue(run_virtual(work))
 
 
+class RepeatedNoticesTests(TestCase):
+    def receivers(self, gateways, seconds, news_at_s=()):
+        """Return how often each gateway got a notice."""
+
+        async def work(loop):
+            counts = dict.fromkeys(range(gateways), 0)
+
+            def transmit(target, _):
+                counts[target[1]] += 1
+
+            calls = PeerCalls(transmit, LoopClock(loop), CallSettings(), random.Random(1))
+            notices = RepeatedNotices(
+                "test",
+                lambda: ["item"],
+                lambda _: None,
+                calls,
+                lambda: [("gw", number) for number in range(gateways)],
+                NoticeSettings(),
+            )
+            task = asyncio.ensure_future(notices.run())
+            for at_s in news_at_s:
+                loop.call_later(at_s, notices.notify_change)
+            await asyncio.sleep(seconds)
+            task.cancel()
+            return counts
+
+        return run_virtual(work)
+
+    def test_news_reach_all_gateways_at_once(self):
+        """Guards against a limit that some gateways hear of only by a repetition."""
+        self.assertEqual({1}, set(self.receivers(84, 0.5, news_at_s=(0.2,)).values()))
+
+    def test_repetitions_do_not_grow_with_the_square_of_the_fleet(self):
+        """Guards against messages of all gateways to all others each second."""
+        counts = self.receivers(84, 10.9)
+        self.assertLessEqual(sum(counts.values()), 10 * NoticeSettings().keepalive_fan_out)
+        self.assertLessEqual(max(counts.values()) - min(counts.values()), 1)
+
+
 class LimitedEngineTests(AsyncTestCase):
     def test_an_engine_gets_no_more_requests_than_its_limit_from_all_gateways(self):
         """Guards against gateways that ignore a limit, or that each apply it by themselves."""
