Keep engines from suspected requests only after one has ended several

After a loss of power that takes half of a service's engines, each request that ran there was suspected and would have been refused until engines were back, though a request runs at one engine at a time and cannot end several at once.

The protection of the remaining engines now begins when two engines have ended under the same request. With two culprits, three ended engines always include two of one culprit, so that case is protected as before.

--- a/src/jayvalve/internal/gateway/crash_guard.py
+++ b/src/jayvalve/internal/gateway/crash_guard.py
@@ -88,6 +88,8 @@
             self._crashes.record_complete(_fingerprint(call))
 
     def _may_risk_engine(self, call: Call, ends: int) -> bool:
+        if not self._records.has_repeated:
+            return True
         service = call.service.name
         live = sum(
             not self._records.has_ended(view.key) for view in self._directory.candidates(service)
--- a/src/jayvalve/internal/gateway/crash_records.py
+++ b/src/jayvalve/internal/gateway/crash_records.py
@@ -120,6 +120,15 @@
         self._expire()
         return not self._suspects
 
+    @property
+    def has_repeated(self) -> bool:
+        """Whether more than one engine has ended under the same request.
+
+        Engines that end for another reason, even many at once, each take other requests along.
+        """
+        self._expire()
+        return any(len(suspect.ends) > 1 for suspect in self._suspects.values())
+
     def has_ended(self, engine: EngineKey) -> bool:
         """Return whether an engine has ended while it ran requests."""
         return engine in self._ended
--- a/tests/cover/test_gateway_crashes.py
+++ b/tests/cover/test_gateway_crashes.py
@@ -9,12 +9,24 @@
 from testtools import TestCase
 from tornado.httputil import HTTPHeaders
 
-from jayvalve.internal.gateway.calls import CallerRequest
+from jayvalve.errors import RequestBlockedError
+from jayvalve.internal.gateway.calls import AttemptHistory, Call, CallerRequest
 from jayvalve.internal.gateway.coordinators import Coordinators
+from jayvalve.internal.gateway.crash_guard import CrashGuard
 from jayvalve.internal.gateway.crash_records import CrashRecords, CrashReport, CrashSettings
 from jayvalve.internal.gateway.crashes import CrashDetector, fingerprint_of
+from jayvalve.internal.gateway.departures import Departures, DepartureSettings
+from jayvalve.internal.gateway.directory import DirectorySettings, EngineDirectory
 from jayvalve.internal.gateway.http_client import HttpPool, PoolSettings
-from jayvalve.internal.gateway.model import EngineKey
+from jayvalve.internal.gateway.model import (
+    EngineKey,
+    EngineRecord,
+    EngineState,
+    RequestInfo,
+    Route,
+    RouteKind,
+    ServiceSpec,
+)
 from jayvalve.internal.gateway.peer_calls import CallSettings, PeerCalls
 from jayvalve.internal.gateway.trials import (
     RequestTrials,
@@ -126,6 +138,14 @@
             random.Random(seed).shuffle(ends)
         self.assertEqual(*outcomes)
 
+    def test_engines_that_end_together_show_no_culprit(self):
+        """Guards against refusing sound requests after a loss of power took many engines."""
+        for number in range(30):
+            self.end(number, f"request-{number}", f"other-{number}")
+        self.assertFalse(self.records.has_repeated)
+        self.end(30, "request-1")
+        self.assertTrue(self.records.has_repeated)
+
     def test_a_gateway_that_starts_later_learns_which_requests_are_blocked(self):
         """Guards against a restarted gateway that sends a blocked request again."""
         for number in range(3):
@@ -276,6 +296,37 @@
 
 
 class CapacityTests(TestCase):
+    def guard_allows(self, *ends):
+        """Return whether a request with one end may run while one of five engines is left."""
+        clock = ManualClock(100.0)
+        records = CrashRecords(clock, CrashSettings())
+        records.record([CrashReport(name, engine(number), 0.0) for number, name in ends])
+        departures = Departures(clock, DepartureSettings())
+        directory = EngineDirectory(clock, DirectorySettings(), departures)
+        entry = EngineRecord(engine(9), "models", (HOST, 1), "zone-a", 8, EngineState.READY)
+        directory.replace_all({"engine-9": entry})
+        trials = CrashDetectorTests.trials(records)
+        guard = CrashGuard(records, None, trials, directory, clock)
+        guard.note_capacity("models", 5)
+        info = RequestInfo("attempt", program="p")
+        route = Route("chat", "shop.example", "/", RouteKind.STREAMING, (), 1, 3.0, 0.2)
+        call = Call(request(b"one"), info, route, ServiceSpec("models", 10), None, b"one")
+        try:
+            asyncio.run(guard.begin(call, AttemptHistory()))
+        except RequestBlockedError:
+            return False
+        return True
+
+    def test_requests_are_tried_again_after_many_engines_ended_at_once(self):
+        """Guards against refusing sound requests because engines lost power together."""
+        one = fingerprint_of(request(b"one"), "p")
+        self.assertTrue(self.guard_allows((1, one), (2, "b"), (3, "c"), (4, "d")))
+
+    def test_the_last_engine_is_kept_when_a_request_has_ended_several(self):
+        """Guards against a second culprit that ends the engines which the first one left."""
+        one = fingerprint_of(request(b"one"), "p")
+        self.assertFalse(self.guard_allows((1, one), (2, "b"), (3, "b"), (4, "d")))
+
     def test_suspected_requests_leave_engines_to_the_others(self):
         """Guards against two such requests that together end all engines of a service."""
         self.assertTrue(may_risk_engine(1, live=5, usual=5))
