--- /dev/null
+++ b/review/support/__init__.py
@@ -0,0 +1,1 @@
+"""Shared parts of the review's scripts: fleet, engine process, client."""
--- /dev/null
+++ b/review/support/engine.py
@@ -0,0 +1,139 @@
+"""Stand-in for an engine, as a separate process that a script can kill.
+
+It behaves like a sound engine of PROTOCOL.md: it echoes the attempt id, signs its answers, answers
+421 to a request for another instance, rejects with X-Jayvalve-Not-Executed when slots and queue
+are full, and drops a request whose channel closes. Its only faults are those that the settings
+name. Each run is written to a log file as one JSON line.
+"""
+
+import asyncio
+import contextlib
+import json
+import sys
+import time
+
+
+class Engine:
+    """One engine of a service; settings come as a JSON object on the command line."""
+
+    def __init__(self, settings):
+        self.id = settings["id"]
+        self.host, self.port = settings["host"], settings["port"]
+        self.streaming = settings.get("streaming", False)
+        self.events = settings.get("events", 5)
+        self.gap_s = settings.get("gap_ms", 20) / 1000
+        # Bytes of padding in each event's data.
+        self.padding = settings.get("padding", 0)
+        self.slots = settings.get("slots", 8)
+        self.queue = settings.get("queue", 24)
+        # Streams without length and chunks, which end with their channel.
+        self.unframed = settings.get("unframed", False)
+        # Every n-th stream is cut after its second event (0: none).
+        self.cut_every = settings.get("cut_every", 0)
+        # Every n-th plain answer has the attempt id and lacks the signature (0: none).
+        self.unsigned_every = settings.get("unsigned_every", 0)
+        # Writes each event in two halves, with this pause between them.
+        self.half_pause_s = settings.get("half_pause_ms", 0) / 1000
+        self.running = self.waiting = self.count = 0
+        self.free = asyncio.Semaphore(self.slots)
+        self.log = open(settings["log"], "a", encoding="utf-8")
+
+    def write_log(self, event, attempt, **fields):
+        line = {"t": time.monotonic(), "engine": self.id, "event": event, "attempt": attempt}
+        self.log.write(json.dumps({**line, **fields}) + "\n")
+        self.log.flush()
+
+    async def serve(self):
+        server = await asyncio.start_server(self.accept, self.host, self.port, backlog=512)
+        print("listening", flush=True)
+        await server.serve_forever()
+
+    async def accept(self, reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1").split("\r\n")
+                method, target, _ = head[0].split(" ", 2)
+                headers = {}
+                for line in head[1:]:
+                    name, _, value = line.partition(":")
+                    headers[name.strip().lower()] = value.strip()
+                body = await reader.readexactly(int(headers.get("content-length", "0")))
+                if not await self.answer(reader, writer, method, target, headers, body):
+                    break
+        writer.close()
+
+    async def answer(self, reader, writer, method, target, headers, body):
+        """Answer one request; return whether the channel may be used again."""
+        attempt = headers.get("x-jayvalve-attempt-id", "")
+        expected = headers.get("x-jayvalve-expected-instance")
+        if expected is not None and expected != self.id:
+            self.reply(writer, 421, attempt, b"", signed=False)
+            return True
+        if self.running + self.waiting >= self.slots + self.queue:
+            self.reply(writer, 503, attempt, b"", signed=False, extra="X-Jayvalve-Not-Executed: 1\r\n")
+            return True
+        self.waiting += 1
+        await self.free.acquire()
+        self.waiting -= 1
+        self.running += 1
+        self.write_log(
+            "run", attempt, method=method, target=target, body=body.decode("latin1"),
+            last_event_id=headers.get("last-event-id"),
+        )
+        try:
+            if self.streaming:
+                return await self.stream(writer, attempt, int(headers.get("last-event-id") or 0))
+            await asyncio.sleep(self.gap_s)
+            self.count += 1
+            if self.unsigned_every and self.count % self.unsigned_every == 0:
+                self.write_log("unsigned", attempt)
+                self.reply(writer, 200, attempt, b"<html>starting</html>", signed=False)
+            else:
+                self.reply(writer, 200, attempt, json.dumps({"attempt": attempt}).encode())
+            await writer.drain()
+            self.write_log("end", attempt)
+            return True
+        finally:
+            self.running -= 1
+            self.free.release()
+
+    def reply(self, writer, status, attempt, body, signed=True, extra=""):
+        head = f"HTTP/1.1 {status} Status\r\nX-Jayvalve-Attempt-Id: {attempt}\r\n"
+        if signed:
+            head += f"X-Jayvalve-Server-Signature: {self.id}.{attempt}\r\n"
+        head += f"X-Jayvalve-Instance-Id: {self.id}\r\n{extra}Content-Length: {len(body)}\r\n\r\n"
+        writer.write(head.encode() + body)
+
+    async def stream(self, writer, attempt, after):
+        self.count += 1
+        cut = self.cut_every and self.count % self.cut_every == 0
+        head = (
+            f"HTTP/1.1 200 OK\r\nX-Jayvalve-Attempt-Id: {attempt}\r\n"
+            f"X-Jayvalve-Server-Signature: {self.id}.{attempt}\r\n"
+            "Content-Type: text/event-stream\r\n"
+        )
+        head += "Connection: close\r\n\r\n" if self.unframed else "Transfer-Encoding: chunked\r\n\r\n"
+        writer.write(head.encode())
+        for number in range(after + 1, self.events + 1):
+            await asyncio.sleep(self.gap_s)
+            data = f"id: {number}\ndata: {attempt}/{number}{'.' * self.padding}\n\n".encode()
+            middle = len(data) // 2 if self.half_pause_s else len(data)
+            for part in (data[:middle], data[middle:]):
+                if part:
+                    writer.write(part if self.unframed else b"%x\r\n%s\r\n" % (len(part), part))
+                    await writer.drain()
+                    if self.half_pause_s and part == data[:middle]:
+                        await asyncio.sleep(self.half_pause_s)
+            if cut and number == 2:
+                self.write_log("cut", attempt)
+                writer.transport.abort()
+                return False
+        if not self.unframed:
+            writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        self.write_log("end", attempt)
+        return not self.unframed
+
+
+if __name__ == "__main__":
+    asyncio.run(Engine(json.loads(sys.argv[1])).serve())
