review: case 1, a stream without end exceeds a gateway's memory

Cause: the data of every event of a stream is kept in memory until its end, on routes that are not kept too, and without a bound.

The other cases move down by one.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,125 +1,100 @@
-"""The engines of one zone end at once; the same short input then reaches no engine any more."""
+"""An engine sends an event stream without end; the gateway exceeds its memory and is killed."""
 
 import asyncio
+import pathlib
 import signal
 
 from review.support import fleet as f
-from review.support.client import call
+from review.support.client import KeptChannel, call
 
-ROUTES = [f.route("chat", type="streaming", service="models", retained=True)]
+# memory_mb of an edge machine.
+MEMORY_MB = 170
+ROUTES = [
+    f.route("advice", type="streaming", service="models", resumable=True),
+    f.route("charge", type="non_idempotent", service="tools"),
+]
 SERVICES = [
     {
         "name": "models", "health_path": "/health", "connection_limit": 150,
         "engine": {"slots": 8, "chunk_tokens": 13, "kv_cache_tokens": 90_000},
-    }
+    },
+    {"name": "tools", "health_path": "/health", "connection_limit": 110},
 ]
-ZONES = ("zone-a", "zone-b", "zone-c")
-ENGINE = {"streaming": True, "events": 8, "gap_ms": 60}
-# One for each engine of a zone.
-CUSTOMERS = 3
-LATER = 8
-# One attempt and one retry, for the turn and for the two times that it is sent again.
-TRIES = 6
-# The requesters' longest wait for Retry-After: a third of their time limit.
-LONGEST_WAIT_S = 1.0
+CHANNELS = 12
+
+
+def resident_mb(process):
+    """Return the resident memory of a process in MB, or 0 if it has ended."""
+    try:
+        text = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    except OSError:
+        return 0.0
+    sizes = [line.split() for line in text.splitlines() if line.startswith("RssAnon:")]
+    return int(sizes[0][1]) / 1024 if sizes else 0.0
 
 
 async def play(fleet):
     await fleet.start(ROUTES, SERVICES)
-    for zone in ZONES:
-        for number in range(3):
-            fleet.add_engine(f"{zone}-{number}", "models", zone=zone, **ENGINE)
+    for number in range(7):
+        fleet.add_engine(
+            f"m-{number}", "models", streaming=True, events=5, gap_ms=20,
+            endless_at=2 if f.TROUBLE and number == 0 else 0, endless_bytes=100_000,
+        )
+    for number in range(4):
+        fleet.add_engine(f"t-{number}", "tools", gap_ms=250, slots=6)
     for number in range(2):
         fleet.add_gateway(f"gateway-{number}")
     await fleet.wait_ready()
-    count = 0
-
-    async def turn(program, body, previous=None):
-        nonlocal count
-        count += 1
-        attempt = f"turn-{count}"
-        headers = {
-            "X-Jayvalve-Program-Id": program, "X-Jayvalve-Session-Id": f"s-{program}",
-            "X-Jayvalve-Program-Deadline-Ms": "60000", "X-Jayvalve-Token-Usage": "600,100",
-        }
-        if previous is not None:
-            headers["X-Jayvalve-Previous-Turn"] = previous
-        gateway = fleet.gateways[count % 2]
-        answer = await call(gateway.front, "/chat/a", attempt, body, headers)
-        fleet.note(
-            f"{attempt} of {program}, {body!r} after {previous}: status {answer.status}, "
-            f"whole {answer.whole}, retry-after {answer.headers.get('retry-after')} "
-            f"{answer.body[:200]!r}"
-        )
-        return attempt, answer
-
-    # Each customer has a conversation of its own; its first turn is answered whole.
-    first = {}
-    for number in range(CUSTOMERS + LATER):
-        program = f"customer-{number}"
-        attempt, answer = await turn(program, b"I am customer %d and need a tanker" % number)
-        if not (answer.status == 200 and answer.whole):
-            return f.NOT_RUN
-        first[program] = attempt
-
-    async def answer_yes(program):
-        return await turn(program, b"yes", first[program])
+    stop = asyncio.Event()
+    unanswered, killed = [], []
+    most = dict.fromkeys((gateway.name for gateway in fleet.gateways), 0.0)
 
-    programs = list(first)
-    victims = []
-    for _ in range(30):
-        now = [asyncio.ensure_future(answer_yes(program)) for program in programs[:CUSTOMERS]]
-        await asyncio.sleep(0.15)
-        busy = [engine for engine in fleet.engines if engine.running()]
-        if len(busy) == CUSTOMERS and len({engine.zone for engine in busy}) == 1:
-            victims = busy
-            break
-        await asyncio.gather(*now)
-    if not victims:
-        return f.NOT_RUN
-    zone = victims[0].zone
-    if f.TROUBLE:
-        fleet.note(f"the engines of {zone} end: {[engine.name for engine in victims]}")
-        for engine in victims:
-            engine.signal(signal.SIGKILL)
-    await asyncio.gather(*now)
-    if f.TROUBLE:
-        # They start again under the ids that they had, with a later birth.
-        await asyncio.sleep(3.0)
-        for engine in victims:
-            engine.process.wait()
-            engine.start()
-        await asyncio.sleep(0.6)
-        for engine in victims:
-            engine.announce()
-    # The platform, the engines and the gateways are calm for more than stable_window_ms.
-    await asyncio.sleep(5.0)
-    fleet.note("calm since 5 s")
+    async def platform(gateway):
+        """Kill a process that exceeds its memory, as the platform does."""
+        while not stop.is_set():
+            size = resident_mb(gateway.process)
+            most[gateway.name] = max(most[gateway.name], size)
+            if size > MEMORY_MB and gateway.process.poll() is None:
+                fleet.note(f"{gateway.name} uses {size:.0f} MB of {MEMORY_MB} and is killed")
+                killed.append(gateway.name)
+                gateway.signal(signal.SIGKILL)
+            await asyncio.sleep(0.02)
 
-    async def later(program):
-        """Send the turn as a requester does, until it is answered or given up."""
-        for _ in range(TRIES):
-            attempt, answer = await answer_yes(program)
-            if answer.status == 200:
-                return True
-            await asyncio.sleep(min(LONGEST_WAIT_S, float(answer.headers.get("retry-after", 0.3))))
-        return False
+    async def charges(number):
+        gateway = fleet.gateways[number % 2]
+        channel = KeptChannel(gateway.front)
+        turn = 0
+        while not stop.is_set() and gateway.name not in killed:
+            turn += 1
+            attempt = f"charge-{number}-{turn}"
+            answer = await channel.call("/charge/a", attempt, b"pay")
+            fleet.note(f"{attempt} at {gateway.name}: {answer.status} {answer.error}")
+            if answer.status == 0:
+                unanswered.append(attempt)
 
-    async def newcomer(number):
-        _, answer = await turn(f"new-{number}", b"I am new, number %d" % number)
-        return answer.status == 200 and answer.whole
+    async def advice(number):
+        for turn in range(10):
+            running = [each for each in fleet.gateways if each.name not in killed]
+            if not running:
+                return
+            attempt = f"advice-{number}-{turn}"
+            gateway = running[turn % len(running)]
+            answer = await call(gateway.front, "/advice/a", attempt, b"where?", keep=False)
+            fleet.note(f"{attempt} at {gateway.name}: {answer.status} whole {answer.whole}")
+            await asyncio.sleep(0.2)
 
-    results = await asyncio.gather(
-        *(later(program) for program in programs[CUSTOMERS:]),
-        *(newcomer(number) for number in range(20)),
-    )
-    unserved = results[:LATER].count(False)
-    new = results[LATER:].count(True)
-    print(
-        f"{unserved} of {LATER} turns after a kept turn reached no engine in {TRIES} tries; "
-        f"{new} of 20 first turns were served"
-    )
-    return f.BROKEN if unserved and new >= 18 else f.HELD
+    others = [asyncio.ensure_future(platform(gateway)) for gateway in fleet.gateways]
+    others += [asyncio.ensure_future(charges(number)) for number in range(CHANNELS)]
+    await asyncio.sleep(1.5)
+    await asyncio.gather(*(advice(number) for number in range(6)))
+    stop.set()
+    await asyncio.gather(*others)
+    ran = {run["attempt"] for e in fleet.engines if e.service == "tools" for run in e.runs()}
+    lost = [attempt for attempt in unanswered if attempt in ran]
+    sizes = ", ".join(f"{name} {size:.0f} MB" for name, size in most.items())
+    fleet.note(f"passed on to a sound engine and not answered: {lost}")
+    print(f"most memory: {sizes}; killed: {killed}; {len(lost)} charges ran without an answer")
+    return f.BROKEN if len(lost) > 3 else f.HELD
 
 
 f.main(__file__, play)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,14 +1,11 @@
-"""An engine ends while it sends streams that have no length and end with their channel."""
+"""The engines of one zone end at once; the same short input then reaches no engine any more."""
 
 import asyncio
-import random
 import signal
 
 from review.support import fleet as f
 from review.support.client import call
 
-EVENTS = 5
-ENGINES = 7
 ROUTES = [f.route("chat", type="streaming", service="models", retained=True)]
 SERVICES = [
     {
@@ -16,63 +13,113 @@
         "engine": {"slots": 8, "chunk_tokens": 13, "kv_cache_tokens": 90_000},
     }
 ]
+ZONES = ("zone-a", "zone-b", "zone-c")
+ENGINE = {"streaming": True, "events": 8, "gap_ms": 60}
+# One for each engine of a zone.
+CUSTOMERS = 3
+LATER = 8
+# One attempt and one retry, for the turn and for the two times that it is sent again.
+TRIES = 6
+# The requesters' longest wait for Retry-After: a third of their time limit.
+LONGEST_WAIT_S = 1.0
 
 
 async def play(fleet):
     await fleet.start(ROUTES, SERVICES)
-    for number in range(ENGINES):
-        fleet.add_engine(
-            f"m-{number}", "models", streaming=True, events=EVENTS, gap_ms=40, half_pause_ms=60,
-            padding=60, unframed=number < 3,
-        )
+    for zone in ZONES:
+        for number in range(3):
+            fleet.add_engine(f"{zone}-{number}", "models", zone=zone, **ENGINE)
     for number in range(2):
         fleet.add_gateway(f"gateway-{number}")
     await fleet.wait_ready()
-    answers = {}
-    stop = asyncio.Event()
+    count = 0
 
-    async def caller(number):
-        turn = 0
-        while not stop.is_set():
-            turn += 1
-            attempt = f"turn-{number}-{turn}"
-            gateway = random.choice(fleet.gateways)
-            answer = await call(gateway.front, "/chat/a", attempt, f"in {number} {turn};".encode())
-            answers[attempt] = answer
-            fleet.note(
-                f"{attempt}: status {answer.status}, {len(answer.events)} events, "
-                f"whole {answer.whole}, ends with {answer.body[-20:]!r}"
-            )
-            await asyncio.sleep(random.uniform(0.0, 0.2))
+    async def turn(program, body, previous=None):
+        nonlocal count
+        count += 1
+        attempt = f"turn-{count}"
+        headers = {
+            "X-Jayvalve-Program-Id": program, "X-Jayvalve-Session-Id": f"s-{program}",
+            "X-Jayvalve-Program-Deadline-Ms": "60000", "X-Jayvalve-Token-Usage": "600,100",
+        }
+        if previous is not None:
+            headers["X-Jayvalve-Previous-Turn"] = previous
+        gateway = fleet.gateways[count % 2]
+        answer = await call(gateway.front, "/chat/a", attempt, body, headers)
+        fleet.note(
+            f"{attempt} of {program}, {body!r} after {previous}: status {answer.status}, "
+            f"whole {answer.whole}, retry-after {answer.headers.get('retry-after')} "
+            f"{answer.body[:200]!r}"
+        )
+        return attempt, answer
 
-    callers = [asyncio.ensure_future(caller(number)) for number in range(40)]
-    await asyncio.sleep(5.0)
+    # Each customer has a conversation of its own; its first turn is answered whole.
+    first = {}
+    for number in range(CUSTOMERS + LATER):
+        program = f"customer-{number}"
+        attempt, answer = await turn(program, b"I am customer %d and need a tanker" % number)
+        if not (answer.status == 200 and answer.whole):
+            return f.NOT_RUN
+        first[program] = attempt
+
+    async def answer_yes(program):
+        return await turn(program, b"yes", first[program])
+
+    programs = list(first)
+    victims = []
+    for _ in range(30):
+        now = [asyncio.ensure_future(answer_yes(program)) for program in programs[:CUSTOMERS]]
+        await asyncio.sleep(0.15)
+        busy = [engine for engine in fleet.engines if engine.running()]
+        if len(busy) == CUSTOMERS and len({engine.zone for engine in busy}) == 1:
+            victims = busy
+            break
+        await asyncio.gather(*now)
+    if not victims:
+        return f.NOT_RUN
+    zone = victims[0].zone
     if f.TROUBLE:
-        fleet.note("kill m-0")
-        fleet.engines[0].signal(signal.SIGKILL)
-    await asyncio.sleep(4.0)
-    stop.set()
-    await asyncio.gather(*callers)
-    short = {
-        attempt: answer
-        for attempt, answer in answers.items()
-        if answer.status == 200 and answer.whole and len(answer.events) < EVENTS
-    }
-    for attempt, answer in short.items():
-        fleet.note(f"SHORT {attempt}: complete with {len(answer.events)} events, {answer.body!r}")
-    if not short:
-        return f.HELD
-    # A later turn that names a cut turn: what does its engine get?
-    attempt, answer = next(iter(short.items()))
-    later = await call(
-        fleet.gateways[0].front, "/chat/a", "later", b"later;",
-        {"X-Jayvalve-Previous-Turn": attempt},
+        fleet.note(f"the engines of {zone} end: {[engine.name for engine in victims]}")
+        for engine in victims:
+            engine.signal(signal.SIGKILL)
+    await asyncio.gather(*now)
+    if f.TROUBLE:
+        # They start again under the ids that they had, with a later birth.
+        await asyncio.sleep(3.0)
+        for engine in victims:
+            engine.process.wait()
+            engine.start()
+        await asyncio.sleep(0.6)
+        for engine in victims:
+            engine.announce()
+    # The platform, the engines and the gateways are calm for more than stable_window_ms.
+    await asyncio.sleep(5.0)
+    fleet.note("calm since 5 s")
+
+    async def later(program):
+        """Send the turn as a requester does, until it is answered or given up."""
+        for _ in range(TRIES):
+            attempt, answer = await answer_yes(program)
+            if answer.status == 200:
+                return True
+            await asyncio.sleep(min(LONGEST_WAIT_S, float(answer.headers.get("retry-after", 0.3))))
+        return False
+
+    async def newcomer(number):
+        _, answer = await turn(f"new-{number}", b"I am new, number %d" % number)
+        return answer.status == 200 and answer.whole
+
+    results = await asyncio.gather(
+        *(later(program) for program in programs[CUSTOMERS:]),
+        *(newcomer(number) for number in range(20)),
+    )
+    unserved = results[:LATER].count(False)
+    new = results[LATER:].count(True)
+    print(
+        f"{unserved} of {LATER} turns after a kept turn reached no engine in {TRIES} tries; "
+        f"{new} of 20 first turns were served"
     )
-    body = [run["body"] for engine in fleet.engines for run in engine.runs() if run["attempt"] == "later"]
-    fleet.note(f"later turn after {attempt}: status {later.status}, body at the engine {body!r}")
-    served = sum(a.status == 200 and a.whole for a in answers.values())
-    print(f"{len(short)} of {served} complete answers lack events; later turn {later.status}")
-    return f.BROKEN
+    return f.BROKEN if unserved and new >= 18 else f.HELD
 
 
 f.main(__file__, play)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,99 +1,78 @@
-"""The open channels of one gateway to the store go silent; a later configuration is in force too late."""
+"""An engine ends while it sends streams that have no length and end with their channel."""
 
 import asyncio
 import random
-import time
+import signal
 
 from review.support import fleet as f
 from review.support.client import call
-from review.support.proxy import Proxy
 
-STABLE_S = f.BOUNDS["stable_window_ms"] / 1000
-APPLY_S = f.BOUNDS["config_apply_ms"] / 1000
+EVENTS = 5
+ENGINES = 7
+ROUTES = [f.route("chat", type="streaming", service="models", retained=True)]
 SERVICES = [
     {
         "name": "models", "health_path": "/health", "connection_limit": 150,
         "engine": {"slots": 8, "chunk_tokens": 13, "kv_cache_tokens": 90_000},
-    },
-    {"name": "tools-a", "health_path": "/health", "connection_limit": 110},
-    {"name": "tools-b", "health_path": "/health", "connection_limit": 110},
+    }
 ]
-# Kept turns that each gateway serves at once before the channels go silent.
-TURNS = 12
-GATEWAYS = 3
-
-
-def routes(service):
-    return [
-        f.route("chat", type="streaming", service="models", retained=True),
-        f.route("charge", type="non_idempotent", service=service),
-    ]
 
 
 async def play(fleet):
-    await fleet.start(routes("tools-a"), SERVICES)
-    proxies = []
-    for number in range(6):
-        fleet.add_engine(f"m-{number}", "models", streaming=True, events=5, gap_ms=20)
-    for name in ("a-0", "a-1"):
-        fleet.add_engine(name, "tools-a", gap_ms=10, slots=6)
-    for name in ("b-0", "b-1"):
-        fleet.add_engine(name, "tools-b", gap_ms=10, slots=6)
-    store_address = fleet.store_address
-    for number in range(GATEWAYS):
-        proxy = Proxy(store_address)
-        await proxy.start()
-        proxies.append(proxy)
-        fleet.store_address = proxy.address
+    await fleet.start(ROUTES, SERVICES)
+    for number in range(ENGINES):
+        fleet.add_engine(
+            f"m-{number}", "models", streaming=True, events=EVENTS, gap_ms=40, half_pause_ms=60,
+            padding=60, unframed=number < 3,
+        )
+    for number in range(2):
         fleet.add_gateway(f"gateway-{number}")
     await fleet.wait_ready()
-    sent, statuses, stop = {}, {}, asyncio.Event()
+    answers = {}
+    stop = asyncio.Event()
 
     async def caller(number):
         turn = 0
         while not stop.is_set():
             turn += 1
-            attempt = f"charge-{number}-{turn}"
-            gateway = fleet.gateways[number % GATEWAYS]
-            sent[attempt] = time.monotonic(), gateway.name
-            answer = await call(gateway.front, "/charge/a", attempt, b"pay")
-            statuses[attempt] = answer.status
-            fleet.note(f"{attempt} by {gateway.name}: {answer.status} {answer.error}")
-            await asyncio.sleep(0.1)
+            attempt = f"turn-{number}-{turn}"
+            gateway = random.choice(fleet.gateways)
+            answer = await call(gateway.front, "/chat/a", attempt, f"in {number} {turn};".encode())
+            answers[attempt] = answer
+            fleet.note(
+                f"{attempt}: status {answer.status}, {len(answer.events)} events, "
+                f"whole {answer.whole}, ends with {answer.body[-20:]!r}"
+            )
+            await asyncio.sleep(random.uniform(0.0, 0.2))
 
-    callers = [asyncio.ensure_future(caller(number)) for number in range(6)]
-    for round_ in range(4):
-        turns = [
-            call(gateway.front, "/chat/a", f"turn-{round_}-{gateway.name}-{number}", b"hello")
-            for gateway in fleet.gateways
-            for number in range(TURNS)
-        ]
-        answers = await asyncio.gather(*turns)
-        fleet.note(f"turns: {[answer.status for answer in answers]}")
-        await asyncio.sleep(random.uniform(0.0, 0.3))
+    callers = [asyncio.ensure_future(caller(number)) for number in range(40)]
+    await asyncio.sleep(5.0)
     if f.TROUBLE:
-        fleet.note(f"{proxies[0].silence()} open channels of gateway-0 to the store go silent")
-    await asyncio.sleep(STABLE_S + 0.3)
-    fleet.publish(routes("tools-b"), SERVICES)
-    acknowledged_s = time.monotonic()
-    fleet.note("the store has accepted version 2: /charge/ moves from tools-a to tools-b")
-    await asyncio.sleep(APPLY_S + 8.0)
+        fleet.note("kill m-0")
+        fleet.engines[0].signal(signal.SIGKILL)
+    await asyncio.sleep(4.0)
     stop.set()
     await asyncio.gather(*callers)
-    late = {
-        run["attempt"]: sent[run["attempt"]][0] - acknowledged_s
-        for engine in fleet.engines
-        if engine.service == "tools-a"
-        for run in engine.runs()
-        if sent[run["attempt"]][0] > acknowledged_s + APPLY_S
+    short = {
+        attempt: answer
+        for attempt, answer in answers.items()
+        if answer.status == 200 and answer.whole and len(answer.events) < EVENTS
     }
-    for attempt, after_s in late.items():
-        fleet.note(f"LATE {attempt} by {sent[attempt][1]}, sent {after_s:.2f} s after, at tools-a")
-    latest = max(late.values(), default=0.0)
-    print(f"{len(late)} requests ran at the old service, the last one sent {latest:.2f} s after")
-    for proxy in proxies:
-        await proxy.stop()
-    return f.BROKEN if late else f.HELD
+    for attempt, answer in short.items():
+        fleet.note(f"SHORT {attempt}: complete with {len(answer.events)} events, {answer.body!r}")
+    if not short:
+        return f.HELD
+    # A later turn that names a cut turn: what does its engine get?
+    attempt, answer = next(iter(short.items()))
+    later = await call(
+        fleet.gateways[0].front, "/chat/a", "later", b"later;",
+        {"X-Jayvalve-Previous-Turn": attempt},
+    )
+    body = [run["body"] for engine in fleet.engines for run in engine.runs() if run["attempt"] == "later"]
+    fleet.note(f"later turn after {attempt}: status {later.status}, body at the engine {body!r}")
+    served = sum(a.status == 200 and a.whole for a in answers.values())
+    print(f"{len(short)} of {served} complete answers lack events; later turn {later.status}")
+    return f.BROKEN
 
 
 f.main(__file__, play)
--- a/review/support/client.py
+++ b/review/support/client.py
@@ -25,8 +25,11 @@
         ]
 
 
-async def call(address, path, attempt, body=None, headers=None, limit_s=3.0, on_chunk=None):
-    """Send a request; `limit_s` is the caller's time limit, in X-Jayvalve-Deadline-Ms."""
+async def call(address, path, attempt, body=None, headers=None, limit_s=3.0, on_chunk=None, keep=True):
+    """Send a request; `limit_s` is the caller's time limit, in X-Jayvalve-Deadline-Ms.
+
+    Without `keep`, the body is read and dropped.
+    """
     sent_s = time.monotonic()
     answer = Answer()
     writer = None
@@ -44,7 +47,7 @@
             if body is not None:
                 lines.append(f"Content-Length: {len(body)}")
             writer.write("\r\n".join([*lines, "", ""]).encode() + (body or b""))
-            await _read(reader, answer, on_chunk)
+            await _read(reader, answer, on_chunk, keep)
     except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError) as error:
         answer.error = repr(error)
     finally:
@@ -55,7 +58,7 @@
     return answer
 
 
-async def _read(reader, answer, on_chunk):
+async def _read(reader, answer, on_chunk, keep=True):
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1").split("\r\n")
     answer.status = int(head[0].split(" ")[1])
     for line in head[1:]:
@@ -77,6 +80,46 @@
         if not size:
             answer.whole = True
             return
-        answer.body += data
+        if keep:
+            answer.body += data
         if on_chunk is not None:
             on_chunk(answer)
+
+
+class KeptChannel:
+    """A channel on which a caller sends one request after another."""
+
+    def __init__(self, address):
+        self.address = address
+        self.reader = self.writer = None
+
+    async def call(self, path, attempt, body, limit_s=3.0):
+        """Send a request; the answer's status is 0 if the channel ended without one."""
+        answer = Answer()
+        answer.sent_s = time.monotonic()
+        try:
+            async with asyncio.timeout(limit_s + 1.0):
+                if self.writer is None:
+                    self.reader, self.writer = await asyncio.open_connection(*self.address)
+                head = (
+                    f"POST {path} HTTP/1.1\r\nHost: shop.example\r\n"
+                    f"X-Jayvalve-Attempt-Id: {attempt}\r\n"
+                    f"X-Jayvalve-Deadline-Ms: {int(limit_s * 1000)}\r\n"
+                    f"Content-Length: {len(body)}\r\n\r\n"
+                )
+                self.writer.write(head.encode() + body)
+                await _read(self.reader, answer, None)
+        except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError) as error:
+            answer.error = repr(error)
+            self.close()
+        answer.ended_s = time.monotonic()
+        if answer.headers.get("connection", "").lower() == "close":
+            self.close()
+        return answer
+
+    def close(self):
+        """Close the channel; the next request opens a new one."""
+        if self.writer is not None:
+            with contextlib.suppress(OSError):
+                self.writer.close()
+        self.reader = self.writer = None
--- a/review/support/engine.py
+++ b/review/support/engine.py
@@ -32,6 +32,9 @@
         self.cut_every = settings.get("cut_every", 0)
         # Every n-th plain answer has the attempt id and lacks the signature (0: none).
         self.unsigned_every = settings.get("unsigned_every", 0)
+        # The n-th stream (0: none) sends events of this size until its channel closes.
+        self.endless_at = settings.get("endless_at", 0)
+        self.endless_bytes = settings.get("endless_bytes", 0)
         # Writes each event in two halves, with this pause between them.
         self.half_pause_s = settings.get("half_pause_ms", 0) / 1000
         self.running = self.waiting = self.count = 0
@@ -114,6 +117,14 @@
         )
         head += "Connection: close\r\n\r\n" if self.unframed else "Transfer-Encoding: chunked\r\n\r\n"
         writer.write(head.encode())
+        if self.count == self.endless_at:
+            self.write_log("endless", attempt)
+            number = 0
+            while True:
+                number += 1
+                data = f"id: {number}\ndata: {'.' * self.endless_bytes}\n\n".encode()
+                writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+                await writer.drain()
         for number in range(after + 1, self.events + 1):
             await asyncio.sleep(self.gap_s)
             data = f"id: {number}\ndata: {attempt}/{number}{'.' * self.padding}\n\n".encode()
--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -36,10 +36,16 @@
 }
 
 
+_given = set()
+
+
 def free_port(host, count=1):
     """Return the first of `count` ports in a row that are free for TCP and UDP."""
     for _ in range(500):
         first = random.randrange(21000, 31000)
+        ports = set(range(first, first + count))
+        if ports & _given:
+            continue
         with contextlib.ExitStack() as stack:
             try:
                 for port in range(first, first + count):
@@ -47,6 +53,7 @@
                         stack.enter_context(socket.socket(socket.AF_INET, kind)).bind((host, port))
             except OSError:
                 continue
+            _given.update(ports)
             return first
     raise OSError("no free port")
 
