review: case 1, empty lines without end stop a whole gateway

Cause: EventSplitter takes each empty line for an event, and searches and copies the rest of its buffer for each; the loop that relays the events doesn't yield while pieces are queued.

Change: a script in which one engine sends one stream of 60 as empty lines without end.

--- a/review/support/engine.py
+++ b/review/support/engine.py
@@ -37,6 +37,8 @@
         # events of this size until its channel closes.
         self.endless_file = settings.get("endless_file")
         self.endless_bytes = settings.get("endless_bytes", 0)
+        # It sends this text over and over instead.
+        self.endless_text = settings.get("endless_text", "")
         # Writes each event in two halves, with this pause between them.
         self.half_pause_s = settings.get("half_pause_ms", 0) / 1000
         self.running = self.waiting = self.count = 0
@@ -130,6 +132,11 @@
         writer.write(head.encode())
         if self.takes_endless():
             self.write_log("endless", attempt)
+            if self.endless_text:
+                data = self.endless_text.encode() * (self.endless_bytes // len(self.endless_text))
+                while True:
+                    writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+                    await writer.drain()
             number, padding = 0, b"." * self.endless_bytes
             while True:
                 number += 1
