--- a/review/4/case.py
+++ b/review/4/case.py
@@ -77,7 +77,9 @@
     fleet.publish(routes("tools-b"), SERVICES)
     acknowledged_s = time.monotonic()
     fleet.note("the store has accepted version 2: /charge/ moves from tools-a to tools-b")
-    await asyncio.sleep(APPLY_S + 8.0)
+    await asyncio.sleep(APPLY_S + 1.0)
+    fleet.note(f"gateway-0 counts as ready: {await fleet.gateways[0].ready()}")
+    await asyncio.sleep(7.0)
     stop.set()
     await asyncio.gather(*callers)
     late = {
