review: case 3 counts only streams that were cut within an event

An end between two events of a stream without a length can't be told from a whole stream, so it is no fault of the gateway.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -57,6 +57,8 @@
         attempt: answer
         for attempt, answer in answers.items()
         if answer.status == 200 and answer.whole and len(answer.events) < EVENTS
+        # Cut in the middle of an event: an end between two events can't be told from a whole one.
+        and answer.body and not answer.body.endswith(b"\n\n")
     }
     for attempt, answer in short.items():
         fleet.note(f"SHORT {attempt}: complete with {len(answer.events)} events, {answer.body!r}")
