--- a/review/1/case.py
+++ b/review/1/case.py
@@ -21,16 +21,16 @@
 ]
 CHANNELS = 24
 CALLERS = 6
-TURNS = 10
+# Answers of the engine before the bad one, so that it is at most 0.02 of its answers.
+ANSWERS = 50
 
 
 async def play(fleet):
     await fleet.start(ROUTES, SERVICES)
-    endless = fleet.folder / "endless"
     for number in range(7):
         fleet.add_engine(
             f"m-{number}", "models", streaming=True, events=5, gap_ms=20,
-            endless_file=str(endless), endless_bytes=60_000, endless_text="\n",
+            endless_file=str(fleet.folder / f"endless-{number}"), endless_bytes=60_000, endless_text="\n",
         )
     for number in range(4):
         fleet.add_engine(f"t-{number}", "tools", gap_ms=250, slots=6)
@@ -54,14 +54,16 @@
             waits.append((attempt, wait_s, answer.status))
 
     async def advice(number):
-        for turn in range(TURNS):
+        turn = 0
+        while not stop.is_set():
+            turn += 1
             gateway = fleet.gateways[turn % 2]
             attempt = f"advice-{number}-{turn}"
             status, size, whole = await asyncio.to_thread(
                 read_all, gateway.front, "/advice/a", attempt, b"where?", TIMEOUT_S
             )
             fleet.note(f"{attempt} at {gateway.name}: {status}, {size} bytes, whole {whole}")
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(0.05)
 
     async def readiness(gateway):
         """Ask as the platform does."""
@@ -74,11 +76,14 @@
 
     others = [asyncio.ensure_future(readiness(gateway)) for gateway in fleet.gateways]
     others += [asyncio.ensure_future(charges(number)) for number in range(CHANNELS)]
-    await asyncio.sleep(1.5)
+    others += [asyncio.ensure_future(advice(number)) for number in range(CALLERS)]
+    bad = await f.busiest(fleet.engines[:7], ANSWERS, 60.0)
+    if bad is None:
+        return f.NOT_RUN
     if f.TROUBLE:
-        fleet.note("the next stream of any engine is empty lines without end")
-        endless.touch()
-    await asyncio.gather(*(advice(number) for number in range(CALLERS)))
+        fleet.note(f"after {len(bad.runs())} streams, the next one of {bad.name} has no end")
+        (fleet.folder / f"endless-{bad.name[2:]}").touch()
+    await asyncio.sleep(9.0)
     stop.set()
     await asyncio.gather(*others)
     unanswered = [each for each in waits if each[1] > TIMEOUT_S]
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""The engines of one zone end at once; the same short input then reaches no engine any more."""
+"""Three engines of twenty end at once; the same short input then reaches no engine any more."""
 
 import asyncio
 import signal
@@ -15,7 +15,8 @@
 ]
 ZONES = ("zone-a", "zone-b", "zone-c")
 ENGINE = {"streaming": True, "events": 10, "gap_ms": 30}
-# One for each engine of a zone.
+ENGINES = 20
+# One for each engine that ends: 0.15 of the engines.
 CUSTOMERS = 3
 LATER = 8
 # One attempt and one retry, for the turn and for the two times that it is sent again.
@@ -26,9 +27,8 @@
 
 async def play(fleet):
     await fleet.start(ROUTES, SERVICES)
-    for zone in ZONES:
-        for number in range(3):
-            fleet.add_engine(f"{zone}-{number}", "models", zone=zone, **ENGINE)
+    for number in range(ENGINES):
+        fleet.add_engine(f"m-{number}", "models", zone=ZONES[number % 3], **ENGINE)
     for number in range(2):
         fleet.add_gateway(f"gateway-{number}")
     await fleet.wait_ready()
@@ -67,19 +67,18 @@
 
     programs = list(first)
     victims = []
-    for _ in range(80):
+    for _ in range(20):
         now = [asyncio.ensure_future(answer_yes(program)) for program in programs[:CUSTOMERS]]
         await asyncio.sleep(0.1)
         busy = [engine for engine in fleet.engines if engine.running()]
-        if len(busy) == CUSTOMERS and len({engine.zone for engine in busy}) == 1:
+        if len(busy) == CUSTOMERS:
             victims = busy
             break
         await asyncio.gather(*now)
     if not victims:
         return f.NOT_RUN
-    zone = victims[0].zone
     if f.TROUBLE:
-        fleet.note(f"the engines of {zone} end: {[engine.name for engine in victims]}")
+        fleet.note(f"these engines end: {[engine.name for engine in victims]}")
         for engine in victims:
             engine.signal(signal.SIGKILL)
     await asyncio.gather(*now)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,6 +9,8 @@
 
 EVENTS = 5
 ENGINES = 7
+# Answers of the engine before the one without a length, which is at most 0.02 of its answers.
+ANSWERS = 50
 ROUTES = [f.route("chat", type="streaming", service="models", retained=True)]
 SERVICES = [
     {
@@ -22,8 +24,8 @@
     await fleet.start(ROUTES, SERVICES)
     for number in range(ENGINES):
         fleet.add_engine(
-            f"m-{number}", "models", streaming=True, events=EVENTS, gap_ms=40, half_pause_ms=60,
-            padding=60, unframed=number < 3,
+            f"m-{number}", "models", streaming=True, events=EVENTS, gap_ms=50, half_pause_ms=150,
+            padding=60, unframed_file=str(fleet.folder / f"unframed-{number}"),
         )
     for number in range(2):
         fleet.add_gateway(f"gateway-{number}")
@@ -46,10 +48,17 @@
             await asyncio.sleep(random.uniform(0.0, 0.2))
 
     callers = [asyncio.ensure_future(caller(number)) for number in range(40)]
-    await asyncio.sleep(5.0)
+    engine = await f.busiest(fleet.engines, ANSWERS, 60.0)
+    if engine is None:
+        return f.NOT_RUN
+    fleet.note(f"after {len(engine.runs())} streams, the next one of {engine.name} has no length")
+    (fleet.folder / f"unframed-{engine.name[2:]}").touch()
+    while not engine.runs("unframed"):
+        await asyncio.sleep(0.01)
     if f.TROUBLE:
-        fleet.note("kill m-0")
-        fleet.engines[0].signal(signal.SIGKILL)
+        await asyncio.sleep(0.325)
+        fleet.note(f"kill {engine.name}")
+        engine.signal(signal.SIGKILL)
     await asyncio.sleep(4.0)
     stop.set()
     await asyncio.gather(*callers)
--- a/review/support/engine.py
+++ b/review/support/engine.py
@@ -27,14 +27,15 @@
         self.padding = settings.get("padding", 0)
         self.slots = settings.get("slots", 8)
         self.queue = settings.get("queue", 24)
-        # Streams without length and chunks, which end with their channel.
-        self.unframed = settings.get("unframed", False)
+        # A file; the next stream that finds and removes it has no length and no chunks, and ends
+        # with its channel.
+        self.unframed_file = settings.get("unframed_file")
         # Every n-th stream is cut after its second event (0: none).
         self.cut_every = settings.get("cut_every", 0)
         # Every n-th plain answer has the attempt id and lacks the signature (0: none).
         self.unsigned_every = settings.get("unsigned_every", 0)
-        # A file; the first stream of any engine that finds and removes it has no end: it sends
-        # events of this size until its channel closes.
+        # A file; the next stream that finds and removes it has no end: it sends events of this
+        # size until its channel closes.
         self.endless_file = settings.get("endless_file")
         self.endless_bytes = settings.get("endless_bytes", 0)
         # It sends this text over and over instead.
@@ -111,26 +112,31 @@
         head += f"X-Jayvalve-Instance-Id: {self.id}\r\n{extra}Content-Length: {len(body)}\r\n\r\n"
         writer.write(head.encode() + body)
 
-    def takes_endless(self):
-        if self.endless_file is None:
+    @staticmethod
+    def take(path):
+        """Remove a file; return whether it was there."""
+        if path is None:
             return False
         try:
-            os.unlink(self.endless_file)
+            os.unlink(path)
         except FileNotFoundError:
             return False
         return True
 
     async def stream(self, writer, attempt, after):
         self.count += 1
+        unframed = self.take(self.unframed_file)
+        if unframed:
+            self.write_log("unframed", attempt)
         cut = self.cut_every and self.count % self.cut_every == 0
         head = (
             f"HTTP/1.1 200 OK\r\nX-Jayvalve-Attempt-Id: {attempt}\r\n"
             f"X-Jayvalve-Server-Signature: {self.id}.{attempt}\r\n"
             "Content-Type: text/event-stream\r\n"
         )
-        head += "Connection: close\r\n\r\n" if self.unframed else "Transfer-Encoding: chunked\r\n\r\n"
+        head += "Connection: close\r\n\r\n" if unframed else "Transfer-Encoding: chunked\r\n\r\n"
         writer.write(head.encode())
-        if self.takes_endless():
+        if self.take(self.endless_file):
             self.write_log("endless", attempt)
             if self.endless_text:
                 data = self.endless_text.encode() * (self.endless_bytes // len(self.endless_text))
@@ -150,7 +156,7 @@
             middle = len(data) // 2 if self.half_pause_s else len(data)
             for part in (data[:middle], data[middle:]):
                 if part:
-                    writer.write(part if self.unframed else b"%x\r\n%s\r\n" % (len(part), part))
+                    writer.write(part if unframed else b"%x\r\n%s\r\n" % (len(part), part))
                     await writer.drain()
                     if self.half_pause_s and part == data[:middle]:
                         await asyncio.sleep(self.half_pause_s)
@@ -158,11 +164,11 @@
                 self.write_log("cut", attempt)
                 writer.transport.abort()
                 return False
-        if not self.unframed:
+        if not unframed:
             writer.write(b"0\r\n\r\n")
         await writer.drain()
         self.write_log("end", attempt)
-        return not self.unframed
+        return not unframed
 
 
 if __name__ == "__main__":
--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -163,11 +163,11 @@
         self.fleet.store.put("keyed.servers", self.name, self.entry(state))
 
     def runs(self, event="run"):
-        """Return the lines that the engine has logged."""
+        """Return the lines of an event that the engine has logged, or all lines for None."""
         if not self.log.exists():
             return []
         lines = [json.loads(line) for line in self.log.read_text().splitlines() if line]
-        return [line for line in lines if line["event"] == event]
+        return [line for line in lines if event in (None, line["event"])]
 
     def running(self):
         """Return the attempts that the engine runs now."""
@@ -185,6 +185,17 @@
     }
 
 
+async def busiest(engines, answers, seconds):
+    """Wait until one of the engines has run so many requests; return it, or None."""
+    end_s = time.monotonic() + seconds
+    while time.monotonic() < end_s:
+        engine = max(engines, key=lambda each: len(each.runs()))
+        if len(engine.runs()) >= answers:
+            return engine
+        await asyncio.sleep(0.2)
+    return None
+
+
 class Fleet:
     """Store, engines and gateways of one script."""
 
@@ -267,7 +278,7 @@
         finally:
             for engine in fleet.engines:
                 for line in sorted(
-                    engine.runs() + engine.runs("end") + engine.runs("cut"), key=lambda x: x["t"]
+                    engine.runs(None), key=lambda x: x["t"]
                 ):
                     text = {key: value for key, value in line.items() if key not in ("t", "engine")}
                     fleet.lines.append(
