Break off streams that end within an event

Cause: without a length, the end of the connection ends the body, and a killed process closes its connections without a reset. _relay_events wrote what was left of the last event and returned as after a whole stream. Ruled out: a lost reset (the socket has no error after a kill).

Change: EventSplitter.finish() at the end of a stream raises TruncatedEventError unless only whole comment lines are left; a stream without a length also needs an event. It is then handled as any broken stream. All line ends of the format are recognised, and the splitter searches each byte once.

The three new tests of test_gateway_faulty_engines.py fail on the code before and pass now.

--- a/src/jayvalve/internal/gateway/events.py
+++ b/src/jayvalve/internal/gateway/events.py
@@ -1,19 +1,37 @@
 """Splits an event stream into complete events."""
 
+import re
+
 import attrs
 
-__all__ = ["Event", "EventSplitter", "EventTooLargeError"]
+__all__ = ["Event", "EventSplitter", "EventTooLargeError", "TruncatedEventError"]
 
 # Models produce a few hundred bytes per event.
 MAX_EVENT_BYTES = 1024 * 1024
+# Parsing is not interruptible, so an event of many short lines would delay other requests.
+MAX_EVENT_LINES = 10_000
+
+
+def _event_end(line_end: bytes) -> re.Pattern[bytes]:
+    # A blank line ends an event. Further blank lines belong to the same match, so that any number
+    # of them costs one step.
+    return re.compile(rb"(?:\A|%b)%b+" % (line_end, line_end))
+
+
+# A carriage return at the end of the buffer may be the first half of a line end.
+_EVENT_END = _event_end(rb"(?:\r\n|\n|\r(?=[^\n]))")
+_LAST_EVENT_END = _event_end(rb"(?:\r\n|\n|\r)")
+# Where a search continues: before the longest sequence that may have been incomplete.
+_OVERLAP = 4
+_COMMENT_LINES = re.compile(rb"(?::[^\r\n]*(?:\r\n|\n|\r))*")
 
 
 @attrs.frozen
 class Event:
-    """One event of an event stream.
+    """One event of an event stream, or blank lines between events.
 
     Attributes:
-        raw: Bytes of the event as received, including the blank line that ends it.
+        raw: Bytes of the event as received, including the blank lines that end it.
         id: Value of the id field, or None.
         data: Values of the data fields joined by line feeds, or None if there are no data fields.
 
@@ -25,60 +43,92 @@
 
 
 class EventTooLargeError(Exception):
-    """An event exceeds the limit; the endpoint may be sending bytes without end."""
+    """An event exceeds a limit; the endpoint may be sending bytes without end."""
+
+
+class TruncatedEventError(Exception):
+    """A stream ended within an event."""
 
 
 class EventSplitter:
     """Collects bytes and returns the events that they complete.
 
     Args:
-        max_event_bytes: Maximum size of one event.
+        max_event_bytes: Maximum size of one event with data, including the comments and blank
+            lines before it.
 
     """
 
     def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
         self._max_event_bytes = max_event_bytes
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._searched = 0
+        self._bytes_without_data = 0
 
     @property
     def remainder(self) -> bytes:
         """Bytes received after the last complete event."""
-        return self._buffer
+        return bytes(self._buffer)
 
     def feed(self, chunk: bytes) -> list[Event]:
         """Add bytes and return the events that they complete.
 
         Raises:
-            EventTooLargeError: The event that has not ended yet exceeds the limit.
+            EventTooLargeError: An event, or what was received since the last event with data,
+                exceeds the limit.
 
         """
         self._buffer += chunk
-        events = []
-        while (end := _event_end(self._buffer)) is not None:
-            raw, self._buffer = self._buffer[:end], self._buffer[end:]
-            events.append(_parse(raw))
-        if len(self._buffer) > self._max_event_bytes:
-            raise EventTooLargeError(f"an event exceeds {self._max_event_bytes} bytes")
+        events = self._take_events(_EVENT_END)
+        self._check_size(len(self._buffer))
         return events
 
+    def finish(self) -> list[Event]:
+        """Return the events that are complete because the stream has ended.
+
+        Complete comment lines are not part of an event and stay in the remainder.
+
+        Raises:
+            TruncatedEventError: The stream ended within an event or a line.
+            EventTooLargeError: As for feed().
+
+        """
+        events = self._take_events(_LAST_EVENT_END)
+        if _COMMENT_LINES.fullmatch(self._buffer) is None:
+            raise TruncatedEventError(
+                f"the stream ended within an event, after {len(self._buffer)} bytes of it"
+            )
+        return events
+
+    def _take_events(self, event_end: re.Pattern[bytes]) -> list[Event]:
+        events = []
+        start = 0
+        for match in event_end.finditer(self._buffer, max(0, self._searched - _OVERLAP)):
+            raw = bytes(self._buffer[start : match.end()])
+            start = match.end()
+            events.append(self._parse(raw))
+        del self._buffer[:start]
+        self._searched = len(self._buffer)
+        return events
 
-def _event_end(buffer: bytes) -> int | None:
-    ends = [
-        position + len(separator)
-        for separator in (b"\n\n", b"\r\n\r\n")
-        if (position := buffer.find(separator)) >= 0
-    ]
-    return min(ends) if ends else None
-
-
-def _parse(raw: bytes) -> Event:
-    event_id: str | None = None
-    data: list[bytes] = []
-    for line in raw.splitlines():
-        name, _, value = line.partition(b":")
-        value = value.removeprefix(b" ")
-        if name == b"data":
-            data.append(value)
-        elif name == b"id":
-            event_id = value.decode("utf-8", "replace")
-    return Event(raw, event_id, b"\n".join(data) if data else None)
+    def _parse(self, raw: bytes) -> Event:
+        if raw.count(b"\n") + raw.count(b"\r") > MAX_EVENT_LINES and raw.strip(b"\r\n"):
+            raise EventTooLargeError(f"an event exceeds {MAX_EVENT_LINES} lines")
+        event_id: str | None = None
+        data: list[bytes] = []
+        for line in raw.strip(b"\r\n").splitlines():
+            name, _, value = line.partition(b":")
+            value = value.removeprefix(b" ")
+            if name == b"data":
+                data.append(value)
+            elif name == b"id":
+                event_id = value.decode("utf-8", "replace")
+        self._check_size(len(raw))
+        self._bytes_without_data = 0 if data else self._bytes_without_data + len(raw)
+        return Event(raw, event_id, b"\n".join(data) if data else None)
+
+    def _check_size(self, size: int) -> None:
+        if self._bytes_without_data + size > self._max_event_bytes:
+            raise EventTooLargeError(
+                f"over {self._max_event_bytes} bytes were received without a complete event"
+            )
--- a/src/jayvalve/internal/gateway/http_client.py
+++ b/src/jayvalve/internal/gateway/http_client.py
@@ -81,6 +81,11 @@
     reason: str
     headers: HTTPHeaders
 
+    @property
+    def framed(self) -> bool:
+        """Whether the body has a length or chunks; otherwise it ends with its connection."""
+        return "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
+
 
 @attrs.frozen
 class PoolSettings:
@@ -280,13 +285,12 @@
 
 
 def _is_reusable(stream: IOStream, head: ResponseHead) -> bool:
-    framed = "Content-Length" in head.headers or "Transfer-Encoding" in head.headers
     return (
         not stream.closed()
         # An endpoint may respond before it has read a long body. It would then interpret the next
         # request as the rest of that body.
         and not stream.writing()
-        and framed
+        and head.framed
         and head.headers.get("Connection", "").lower() != "close"
     )
 
--- a/src/jayvalve/internal/gateway/service.py
+++ b/src/jayvalve/internal/gateway/service.py
@@ -30,7 +30,12 @@
     reason_phrase,
 )
 from jayvalve.internal.gateway.decisions import DecisionLog
-from jayvalve.internal.gateway.events import EventSplitter, EventTooLargeError
+from jayvalve.internal.gateway.events import (
+    Event,
+    EventSplitter,
+    EventTooLargeError,
+    TruncatedEventError,
+)
 from jayvalve.internal.gateway.http_client import BrokenConnectionError
 from jayvalve.internal.gateway.model import RequestInfo, Route, RouteKind, RoutingTable
 from jayvalve.internal.gateway.sender import EngineAnswer, EngineSender
@@ -330,21 +335,31 @@
     ) -> str | None:
         splitter = EventSplitter()
         head = answer.head
+        events_before = progress.events
+
+        async def relay(events: list[Event]) -> None:
+            nonlocal last_id
+            for event in events:
+                if event.data is not None:
+                    collected.append(event.data)
+                    progress.events += 1
+                await responder.write(event.raw)
+                last_id = event.id if event.id is not None else last_id
+
         try:
             if not responder.started:
                 responder.start(
                     head.status, head.reason, self._codec.response_headers(head.headers)
                 )
             async for chunk in answer.exchange.chunks():
-                for event in splitter.feed(chunk):
-                    if event.data is not None:
-                        collected.append(event.data)
-                        progress.events += 1
-                    await responder.write(event.raw)
-                    last_id = event.id if event.id is not None else last_id
+                await relay(splitter.feed(chunk))
+            await relay(splitter.finish())
+            if not head.framed and progress.events == events_before:
+                # Nothing but the end of the connection would say that the stream is complete.
+                raise TruncatedEventError("the stream ended before its first event")
             if splitter.remainder:
                 await responder.write(splitter.remainder)
-        except (BrokenConnectionError, EventTooLargeError) as error:
+        except (BrokenConnectionError, EventTooLargeError, TruncatedEventError) as error:
             raise _BrokenStreamError(str(error), last_id) from error
         return last_id
 
--- a/tests/cover/test_gateway_faulty_engines.py
+++ b/tests/cover/test_gateway_faulty_engines.py
@@ -25,6 +25,7 @@
     def __init__(self, answer):
         self.answer = answer
         self.requests = []
+        self.bodies = []
         self._writers = set()
 
     @contextlib.asynccontextmanager
@@ -51,7 +52,8 @@
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 length = re.search(r"(?i)content-length: (\d+)", head)
-                await reader.readexactly(int(length.group(1)) if length else 0)
+                body = await reader.readexactly(int(length.group(1)) if length else 0)
+                self.bodies.append(body.decode())
                 attempt = re.search(r"(?i)attempt-id: (\S+)", head).group(1)
                 self.requests.append(attempt)
                 data, closes = self.answer(len(self.requests) - 1, attempt)
@@ -62,10 +64,11 @@
         writer.close()
 
 
-def success(attempt, body, content_type="application/json"):
+def success(attempt, body, content_type="application/json", framed=True):
+    length = f"Content-Length: {len(body)}\r\n" if framed else ""
     return (
         f"HTTP/1.1 200 OK\r\nX-Jayvalve-Attempt-Id: {attempt}\r\nX-Jayvalve-Server-Signature: s\r\n"
-        f"Content-Type: {content_type}\r\nContent-Length: {len(body)}\r\n\r\n{body}"
+        f"Content-Type: {content_type}\r\n{length}\r\n{body}"
     ).encode()
 
 
@@ -159,6 +162,58 @@
 
             self.play(work, fail, service="models")
 
+    def check_cut_streams(self, path, streams):
+        """Check streams that their engine ends by closing the connection.
+
+        On a kept route, later turns that name the cut ones are sent as well.
+        """
+
+        def answer(number, attempt):
+            stream = streams[int(attempt.partition("-")[2])]
+            return success(attempt, stream, "text/event-stream", framed=False), True
+
+        async def work(deployment, engines):
+            for number in range(len(streams)):
+                cut = await deployment.call(path, attempt=f"cut-{number}", body=b"x")
+                self.assertFalse(cut.whole, cut)
+                if path.startswith("/chat/"):
+                    later = {"X-Jayvalve-Previous-Turn": f"cut-{number}"}
+                    turn = await deployment.call(path, attempt="later", body=b"y", headers=later)
+                    self.assertEqual(404, turn.status)
+
+        self.play(work, answer, service="models")
+
+    def test_a_stream_that_ends_within_an_event_is_broken_off(self):
+        """Guards against ORDER: a stream that its engine cut and that looks complete."""
+        whole = "id: 1\ndata: part 1\n\nid: 2\ndata: part 2\n\n"
+        first = whole.index("id: 2")
+        cut_streams = [whole[:end] for end in range(first + 1, len(whole))]
+        for path in ("/chat/1", "/advice/1"):
+            self.check_cut_streams(path, cut_streams)
+
+    def test_a_stream_without_length_or_events_is_broken_off(self):
+        """Guards against ORDER: an engine that ends before its first event."""
+        for path in ("/chat/1", "/advice/1"):
+            self.check_cut_streams(path, ["", ": comment\n\n"])
+
+    def test_a_stream_without_length_that_ends_between_events_is_complete(self):
+        """Guards against failing streams that end with their connection."""
+        for line_end in ("\n", "\r\n", "\r"):
+            stream = f"id: 1{line_end}data: part 1{line_end}{line_end}: end{line_end}"
+
+            def answer(number, attempt, stream=stream):
+                return success(attempt, stream, "text/event-stream", framed=False), True
+
+            async def work(deployment, engines, stream=stream):
+                first = await deployment.call("/chat/1", attempt="first", body=b"x")
+                self.assertTrue(first.whole)
+                self.assertEqual(stream.encode(), first.body)
+                headers = {"X-Jayvalve-Previous-Turn": "first"}
+                await deployment.call("/chat/1", attempt="second", body=b"y", headers=headers)
+                self.assertEqual(["xpart 1\ny"], engines[0].bodies[1:])
+
+            self.play(work, answer, service="models")
+
     def test_a_head_that_ends_early_is_never_a_success(self):
         """Guards against MIXED: a 200 with an empty or short body that looks complete."""
         whole = success("ATTEMPT", "body")
