Close idle connections that may be silent along with one that is

Cause: a read of the configuration times out after 1.6 s and closes its own connection only; the next read takes another idle one, which is as silent. Ruled out: the path (new connections work) and the retry delay (0.6 s at most).

Change: one rule in the pool. Giving up an exchange whose endpoint was silent also closes the idle connections that carried nothing since.

--- a/src/jayvalve/internal/gateway/http_client.py
+++ b/src/jayvalve/internal/gateway/http_client.py
@@ -99,6 +99,9 @@
         idle_timeout_s: Maximum idle time of a connection whose peer sends no Keep-Alive timeout.
         keep_alive_margin_s: A connection is not used in this last part of the peer's Keep-Alive
             timeout, because the peer may close it while the request is in transit.
+        silent_after_s: Time without a byte of an expected answer after which the abort of an
+            exchange shows that the connection may be silent. A connection goes silent without a
+            reset, and often together with the others to the same address.
         max_idle: Maximum number of idle connections to one address.
         max_header_bytes: Maximum size of the header block of a response.
         max_skipped_responses: Maximum number of responses to other requests that are read before
@@ -113,6 +116,7 @@
     user_timeout_s: float = 2.0
     idle_timeout_s: float = 8.0
     keep_alive_margin_s: float = 0.7
+    silent_after_s: float = 0.5
     max_idle: int = 32
     max_header_bytes: int = 65_536
     max_skipped_responses: int = 8
@@ -161,6 +165,11 @@
         self._idle: dict[Address, list[_Connection]] = {}
         self._opened = 0
 
+    @property
+    def clock(self) -> Clock:
+        """Clock of the process."""
+        return self._clock
+
     @property
     def opened(self) -> int:
         """Number of connection attempts so far."""
@@ -217,6 +226,14 @@
             connection.stream.set_close_callback(None)
             connection.stream.close()
 
+    def discard_unproven(self, address: Address, since_s: float) -> None:
+        """Close the idle connections to an address that have carried nothing since a time."""
+        for connection in list(self._idle.get(address, [])):
+            if connection.idle_since_s <= since_s:
+                self._remove_idle(connection)
+                connection.stream.set_close_callback(None)
+                connection.stream.close()
+
     def close(self) -> None:
         """Close all idle connections."""
         for address in list(self._idle):
@@ -317,6 +334,8 @@
         self._settings = settings
         self._accepts = accepts
         self._reused = reused
+        # Time of the request, then of the last bytes of its answer.
+        self._heard_s = pool.clock.now()
         self._head: ResponseHead | None = None
         self._skipping = False
         self._skipped_count = 0
@@ -392,14 +411,23 @@
         return bytes(body)
 
     def abort(self) -> None:
-        """Close the connection unless the response is complete, so the endpoint stops its work."""
+        """Close the connection unless the response is complete, so the endpoint stops its work.
+
+        If the endpoint was silent for ``silent_after_s``, idle connections to it that were not
+        used since it was last heard are closed as well.
+        """
         if not self._complete:
-            self._connection.stream.close()
+            stream = self._connection.stream
+            silent_s = self._pool.clock.now() - self._heard_s
+            if not stream.closed() and silent_s >= self._settings.silent_after_s:
+                self._pool.discard_unproven(self._connection.address, self._heard_s)
+            stream.close()
             if self._reader is not None:
                 self._reader.cancel()
 
     def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
         """Handle the head of a response."""
+        self._heard_s = self._pool.clock.now()
         if not isinstance(start_line, ResponseStartLine) or start_line.code < 200:
             return
         head = ResponseHead(start_line.code, start_line.reason, headers)
@@ -410,6 +438,7 @@
 
     async def data_received(self, chunk: bytes) -> None:
         """Queue a part of the body; waits while the queue is full."""
+        self._heard_s = self._pool.clock.now()
         if not self._skipping:
             await self._items.put(chunk)
             return
--- a/src/jayvalve/platform/process.py
+++ b/src/jayvalve/platform/process.py
@@ -63,6 +63,9 @@
 # How long a read of the list of gateways waits for changes. An outdated list is acceptable, because
 # gateways also learn of each other from their messages.
 PEER_READ_WAIT_S = 6.0
+# Shorter than any timeout of a call to the store or to a relay, so that each call that times out
+# closes the idle connections that may be silent as well.
+STORE_SILENCE_S = 0.1
 STDOUT_DESCRIPTOR = 1
 
 
@@ -207,7 +210,7 @@
     def _build(self) -> None:
         settings, clock = self._settings, self._clock
         store = settings.store
-        self._store_pool = HttpPool(PoolSettings(), clock)
+        self._store_pool = HttpPool(PoolSettings(silent_after_s=STORE_SILENCE_S), clock)
         self._engine_pool = HttpPool(PoolSettings(), clock)
         store_client = StoreClient(store.address, self._store_pool)
         self._register = PeerRegister(store_client)
