--- a/src/jayvalve/platform/process.py
+++ b/src/jayvalve/platform/process.py
@@ -14,7 +14,6 @@
 from jayvalve.internal.gateway.decisions import DecisionLog, LogLimits, LogWriter
 from jayvalve.internal.gateway.directory import DirectorySettings, EngineDirectory
 from jayvalve.internal.gateway.fleet_state import FleetMembers, FleetState
-from jayvalve.internal.gateway.follower import FollowerSettings, KeyedFollower
 from jayvalve.internal.gateway.frontend import Frontend
 from jayvalve.internal.gateway.health import HealthSettings, HealthTracker
 from jayvalve.internal.gateway.http_client import HttpPool, PoolSettings
@@ -22,7 +21,7 @@
 from jayvalve.internal.gateway.ledger import BudgetLedger, LedgerSettings
 from jayvalve.internal.gateway.loads import PeerLoads, PeerSettings
 from jayvalve.internal.gateway.loop_monitor import LoopMonitor, MonitorSettings
-from jayvalve.internal.gateway.model import CallerLimits, EngineKey
+from jayvalve.internal.gateway.model import CallerLimits, EngineKey, RoutingTable
 from jayvalve.internal.gateway.partitions import PartitionMap
 from jayvalve.internal.gateway.peer_calls import CallSettings, PeerCalls
 from jayvalve.internal.gateway.peer_directory import DirectoryRetention, PeerDirectory
@@ -38,9 +37,9 @@
 from jayvalve.internal.supervision import SupervisionSettings, TaskSupervisor
 from jayvalve.internal.timing import Clock
 from jayvalve.platform import names
+from jayvalve.platform.followers import StoreFollowers
 from jayvalve.platform.headers import PlatformHeaders
-from jayvalve.platform.records import decode_configuration, decode_engine
-from jayvalve.platform.relay import PeerCopy, StoreRelay, fetch_turn_records
+from jayvalve.platform.relay import StoreRelay, fetch_turn_records
 from jayvalve.platform.settings import PlatformSettings, load_platform_settings
 from jayvalve.platform.store import StoreClient
 from jayvalve.platform.topics import KeyedTopic, PeerRegister
@@ -53,16 +52,11 @@
 # settlements are sent in the same append as the reservation of another program.
 LEDGER_TOPICS = 8
 TURN_TOPICS = 30
-# Engines write about once per second. Reading every 0.5 s keeps the delay far below the drain time.
-ENGINE_READ_INTERVAL_S = 0.5
 # The platform checks readiness every second and removes a process after two failed checks, so new
 # connections may arrive for up to this time after SIGTERM.
 DEREGISTRATION_DELAY_S = 2.5
 # Interval at which accounts of programs that are no longer active are discarded.
 EXPIRY_INTERVAL_S = 5.0
-# How long a read of the list of gateways waits for changes. An outdated list is acceptable, because
-# gateways also learn of each other from their messages.
-PEER_READ_WAIT_S = 6.0
 # Shorter than any timeout of a call to the store or to a relay, so that each call that times out
 # closes the idle connections that may be silent as well.
 STORE_SILENCE_S = 0.1
@@ -150,9 +144,7 @@
         self._stack.callback(self._exchange.close)
         self._stack.push_async_callback(self._tasks.close)
         for name, work in {
-            "configuration": self._configuration.run,
-            "engines": self._engines.run,
-            "gateways": self._peers.run,
+            **self._followers.tasks(),
             "store probes": self._storage.run,
             "idle leases": self._ledger.run,
             "remote turns": self._budgets.run,
@@ -235,7 +227,7 @@
         self._relay = StoreRelay(
             store_client,
             lambda: self._paths.direct_usable,
-            lambda: self._followers,
+            lambda: self._followers.shared,
             lambda turn_id: self._turns.records_in_memory(turn_id),
         )
         self._loads = PeerLoads(clock, PeerSettings())
@@ -277,7 +269,7 @@
         self._frontend = Frontend(self._service.handle, clock, CallerLimits())
         self._status = StatusServer(lambda: self.ready, self._metrics, names.READINESS_PATH)
         self._storage.on_recovery(self._directory.handle_store_recovery)
-        self._add_followers()
+        self._build_followers()
         self._add_gauges(store_client)
 
     def _build_budgets(self) -> None:
@@ -340,39 +332,18 @@
     def _send_to_peer(self, address: tuple[str, int], message: list[Any]) -> None:
         self._call_socket.send(address, message)
 
-    def _add_followers(self) -> None:
-        clock = self._clock
-        follower_settings = FollowerSettings()
-        self._configuration = KeyedFollower(
-            self._topic(names.CONFIG_TOPIC),
-            clock,
-            follower_settings,
-            lambda values: [self._apply_configuration(key, value) for key, value in values.items()],
-            self._apply_configuration,
-            peers=PeerCopy(self._peer_clients, names.CONFIG_TOPIC),
-        )
-        self._engines = KeyedFollower(
-            self._topic(names.ENGINES_TOPIC),
-            clock,
-            FollowerSettings(pause_s=ENGINE_READ_INTERVAL_S, wait_s=0.5),
-            self._replace_engines,
-            self._apply_engine,
-            # Records of engines may also have expired if only the partition of this topic was
-            # unavailable.
-            on_recovery=self._directory.handle_store_recovery,
-            peers=PeerCopy(self._peer_clients, names.ENGINES_TOPIC),
-        )
-        self._peers = KeyedFollower(
-            self._topic(names.PEERS_TOPIC),
-            clock,
-            FollowerSettings(wait_s=PEER_READ_WAIT_S),
-            self._replace_peers,
-            self._apply_peer,
+    def _build_followers(self) -> None:
+        self._followers = StoreFollowers(
+            self._topic,
+            self._peer_clients,
+            self._clock,
+            self._settings.instance,
+            self._directory,
+            self._peer_directory,
+            self._register,
+            self._apply_table,
+            self._log,
         )
-        self._followers = {
-            names.CONFIG_TOPIC: self._configuration,
-            names.ENGINES_TOPIC: self._engines,
-        }
 
     def _add_gauges(self, store_client: StoreClient) -> None:
         gauges = {
@@ -393,40 +364,10 @@
         for name, (read_value, help_text) in gauges.items():
             self._metrics.gauge(f"jayvalve_gateway_{name}", read_value, help_text)
 
-    def _apply_configuration(self, key: str, value: bytes | None) -> None:
-        if key != names.CONFIG_KEY or value is None:
-            return
-        try:
-            table = decode_configuration(value)
-        except InvalidSettingsError as error:
-            self._log.write("configuration refused", error=error.message)
-            return
+    def _apply_table(self, table: RoutingTable) -> None:
         if self._service.apply_table(table):
             self._frontend.set_limits(table.limits)
 
-    def _replace_engines(self, values: dict[str, bytes]) -> None:
-        self._directory.replace_all(
-            {key: decode_engine(key, value) for key, value in values.items()}
-        )
-
-    def _apply_engine(self, key: str, value: bytes | None) -> None:
-        self._directory.apply(key, None if value is None else decode_engine(key, value))
-
-    def _replace_peers(self, values: dict[str, bytes]) -> None:
-        decoded = {key: self._decode_peer(key, value) for key, value in values.items()}
-        self._peer_directory.replace_all(
-            {key: address for key, address in decoded.items() if address is not None}
-        )
-
-    def _apply_peer(self, key: str, value: bytes | None) -> None:
-        self._peer_directory.apply(key, self._decode_peer(key, value))
-
-    def _decode_peer(self, key: str, value: bytes | None) -> tuple[str, int] | None:
-        """Return the address of another gateway, or None for this one and for none."""
-        if value is None or key == self._settings.instance:
-            return None
-        return self._register.decode(value)
-
     def _topic(self, name: str) -> KeyedTopic:
         # An answer to a follower shows that a path works, even if some partitions are unavailable.
         return KeyedTopic(self._pick_store_client, name, self._paths.record_answer)
@@ -458,7 +399,7 @@
 
     def _log_context(self) -> dict[str, Any]:
         """Return the log fields that describe the gateway's view of engines, store and peers."""
-        age_s = self._engines.age_s
+        age_s = self._followers.engines_age_s
         return {
             "engines_age_ms": None if age_s is None else round(age_s * 1000),
             "store": "available" if self._storage.available else "away",
