Relay streams in bounded steps, and break off those that are no streams

Cause: the splitter's work grew with the square of the events in a piece, and relaying them one by one never suspended the task while pieces were queued. Ruled out: a slow caller, and reading the answer, which has a test.

--- /dev/null
+++ b/src/jayvalve/internal/gateway/event_relay.py
@@ -0,0 +1,115 @@
+"""Relays event streams of engines to a caller, within limits for what an engine may send."""
+
+from typing import Self
+
+import attrs
+
+from jayvalve.internal.gateway.calls import Call, Responder
+from jayvalve.internal.gateway.events import (
+    Event,
+    EventSplitter,
+    EventTooLargeError,
+    TruncatedEventError,
+)
+from jayvalve.internal.gateway.http_client import BrokenConnectionError
+from jayvalve.internal.gateway.sender import EngineAnswer
+
+__all__ = ["BrokenStreamError", "EventRelay", "RelayLimits"]
+
+# A stream may have this many times the events that its caller allows, and a few more, before its
+# engine counts as faulty.
+EVENT_MARGIN_FACTOR = 2
+EVENT_MARGIN = 8
+
+
+class BrokenStreamError(Exception):
+    """A stream ended early, or its engine sent what is no stream."""
+
+
+@attrs.frozen
+class RelayLimits:
+    """Limits for the stream of one call.
+
+    Attributes:
+        retained: Whether the output is kept as a turn.
+        max_events: Maximum number of events with data, or None if the caller names no maximum.
+
+    """
+
+    retained: bool
+    max_events: int | None = None
+
+    @classmethod
+    def from_call(cls, call: Call) -> Self:
+        """Return the limits that follow from the call's maximum number of tokens."""
+        model, most_tokens = call.service.model, call.info.max_output_tokens
+        if model is None or most_tokens <= 0:
+            return cls(call.route.retained)
+        usual = -(-most_tokens // max(1, model.chunk_tokens))
+        return cls(call.route.retained, EVENT_MARGIN_FACTOR * usual + EVENT_MARGIN)
+
+
+class EventRelay:
+    """Relays the events of a stream, also over several engines, and keeps what a turn needs."""
+
+    def __init__(self, responder: Responder, limits: RelayLimits) -> None:
+        self._responder = responder
+        self._limits = limits
+        self._output = bytearray()
+        self._last_id: str | None = None
+        self._events = 0
+
+    @classmethod
+    def from_call(cls, call: Call, responder: Responder) -> Self:
+        """Create the relay of a call."""
+        return cls(responder, RelayLimits.from_call(call))
+
+    @property
+    def events(self) -> int:
+        """Number of events with data that were received."""
+        return self._events
+
+    @property
+    def last_id(self) -> str | None:
+        """Id of the last event that was relayed and has one."""
+        return self._last_id
+
+    @property
+    def output(self) -> bytes:
+        """Data of the events of a kept turn, each followed by a line feed."""
+        return bytes(self._output)
+
+    async def run(self, answer: EngineAnswer) -> None:
+        """Relay one engine's stream to its end.
+
+        Raises:
+            BrokenStreamError: The stream broke off, or exceeds a limit.
+
+        """
+        splitter = EventSplitter()
+        events_before = self._events
+        try:
+            async for chunk in answer.exchange.chunks():
+                await self._write(splitter.feed(chunk))
+            await self._write(splitter.finish())
+            if not answer.head.framed and self._events == events_before:
+                # Nothing but the end of the connection would say that the stream is complete.
+                raise TruncatedEventError("the stream ended before its first event")
+            if splitter.remainder:
+                await self._responder.write(splitter.remainder)
+        except (BrokenConnectionError, EventTooLargeError, TruncatedEventError) as error:
+            raise BrokenStreamError(str(error)) from error
+
+    async def _write(self, events: list[Event]) -> None:
+        if not events:
+            return
+        for event in events:
+            if event.data is not None:
+                self._events += 1
+                if self._limits.retained:
+                    self._output += event.data + b"\n"
+            if event.id is not None:
+                self._last_id = event.id
+        if self._limits.max_events is not None and self._events > self._limits.max_events:
+            raise EventTooLargeError(f"the stream has over {self._limits.max_events} events")
+        await self._responder.write(b"".join(event.raw for event in events))
--- a/src/jayvalve/internal/gateway/events.py
+++ b/src/jayvalve/internal/gateway/events.py
@@ -70,6 +70,11 @@
         """Bytes received after the last complete event."""
         return bytes(self._buffer)
 
+    @property
+    def held_bytes(self) -> int:
+        """Size of the remainder."""
+        return len(self._buffer)
+
     def feed(self, chunk: bytes) -> list[Event]:
         """Add bytes and return the events that they complete.
 
--- a/src/jayvalve/internal/gateway/http_client.py
+++ b/src/jayvalve/internal/gateway/http_client.py
@@ -37,6 +37,8 @@
 ]
 
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
+# Maximum size of a part of a body, which is processed without a pause.
+_CHUNK_BYTES = 16 * 1024
 # Maximum size of a body that is passed on as it arrives, in bytes.
 _MAX_STREAMED_BYTES = 2**40
 
@@ -90,6 +92,7 @@
         self._clock = clock
         self._parameters = HTTP1ConnectionParameters(
             max_header_size=settings.max_header_bytes,
+            chunk_size=_CHUNK_BYTES,
             # Bodies with a length pass through a queue of a few chunks, so they need no limit.
             max_body_size=_MAX_STREAMED_BYTES,
         )
--- a/src/jayvalve/internal/gateway/http_exchange.py
+++ b/src/jayvalve/internal/gateway/http_exchange.py
@@ -36,7 +36,10 @@
 
 # Maximum number of chunks queued for a slow reader. The client stops reading from the endpoint
 # while the queue is full.
-_MAX_QUEUED_CHUNKS = 16
+_MAX_QUEUED_CHUNKS = 4
+# After this many bytes of a body without a wait, other tasks get a turn. Otherwise an endpoint that
+# sends faster than its answer is processed would stop them.
+_MAX_BYTES_PER_TURN = 16 * 1024
 
 
 class BrokenConnectionError(Exception):
@@ -202,13 +205,18 @@
             BrokenConnectionError: The connection ended before the body was complete.
 
         """
+        processed = 0
         while True:
+            if processed >= _MAX_BYTES_PER_TURN:
+                await asyncio.sleep(0)
+                processed = 0
             item = await self._items.get()
             if item is _END:
                 return
             if item is _BROKEN:
                 raise BrokenConnectionError(self._describe_break())
             yield item
+            processed += len(item)
 
     async def body(self) -> bytes:
         """Return the whole body.
--- a/src/jayvalve/internal/gateway/service.py
+++ b/src/jayvalve/internal/gateway/service.py
@@ -30,12 +30,7 @@
     reason_phrase,
 )
 from jayvalve.internal.gateway.decisions import DecisionLog
-from jayvalve.internal.gateway.events import (
-    Event,
-    EventSplitter,
-    EventTooLargeError,
-    TruncatedEventError,
-)
+from jayvalve.internal.gateway.event_relay import BrokenStreamError, EventRelay
 from jayvalve.internal.gateway.http_client import BrokenConnectionError
 from jayvalve.internal.gateway.model import RequestInfo, Route, RouteKind, RoutingTable
 from jayvalve.internal.gateway.sender import EngineAnswer, EngineSender
@@ -275,10 +270,18 @@
 
     async def _relay_stream(self, call: Call, responder: Responder, progress: _Progress) -> None:
         """Relay a stream; if a resumable one breaks off, resume it at any engine."""
-        collected: list[bytes] = []
-        last_id: str | None = None
+        relay = EventRelay.from_call(call, responder)
+        try:
+            await self._relay_attempts(call, responder, progress, relay)
+        finally:
+            progress.events = relay.events
+
+    async def _relay_attempts(
+        self, call: Call, responder: Responder, progress: _Progress, relay: EventRelay
+    ) -> None:
         resumptions = 0
         while True:
+            last_id = relay.last_id
             extra_headers = ((LAST_EVENT_ID, last_id),) if last_id is not None else ()
             answer = await self._sender.open(call, progress.history, extra_headers)
             received = False
@@ -290,17 +293,17 @@
                         # health.
                         received = True
                         return
-                    last_id = await self._relay_events(
-                        answer, responder, progress, collected, last_id
-                    )
+                    if not responder.started:
+                        headers = self._codec.response_headers(answer.head.headers)
+                        responder.start(answer.head.status, answer.head.reason, headers)
+                    await relay.run(answer)
                     received = True
                     if call.route.retained:
-                        await self._save_turn(call, collected)
+                        await self._save_turn(call, relay.output)
                     responder.finish()
                     progress.status, progress.outcome = answer.head.status, "answered"
                     return
-            except _BrokenStreamError as error:
-                last_id = error.last_id
+            except BrokenStreamError as error:
                 self._sender.record_broken(answer)
                 resumptions += 1
                 if not call.route.resumable or resumptions > MAX_RESUMPTIONS:
@@ -325,46 +328,7 @@
             raise EndpointFailedError(f"the answer broke off: {error}") from error
         progress.status, progress.outcome = answer.head.status, "answered"
 
-    async def _relay_events(
-        self,
-        answer: EngineAnswer,
-        responder: Responder,
-        progress: _Progress,
-        collected: list[bytes],
-        last_id: str | None,
-    ) -> str | None:
-        splitter = EventSplitter()
-        head = answer.head
-        events_before = progress.events
-
-        async def relay(events: list[Event]) -> None:
-            nonlocal last_id
-            for event in events:
-                if event.data is not None:
-                    collected.append(event.data)
-                    progress.events += 1
-                await responder.write(event.raw)
-                last_id = event.id if event.id is not None else last_id
-
-        try:
-            if not responder.started:
-                responder.start(
-                    head.status, head.reason, self._codec.response_headers(head.headers)
-                )
-            async for chunk in answer.exchange.chunks():
-                await relay(splitter.feed(chunk))
-            await relay(splitter.finish())
-            if not head.framed and progress.events == events_before:
-                # Nothing but the end of the connection would say that the stream is complete.
-                raise TruncatedEventError("the stream ended before its first event")
-            if splitter.remainder:
-                await responder.write(splitter.remainder)
-        except (BrokenConnectionError, EventTooLargeError, TruncatedEventError) as error:
-            raise _BrokenStreamError(str(error), last_id) from error
-        return last_id
-
-    async def _save_turn(self, call: Call, collected: list[bytes]) -> None:
-        output = b"".join(data + b"\n" for data in collected)
+    async def _save_turn(self, call: Call, output: bytes) -> None:
         turn = Turn(call.info.attempt_id, call.request.body, output, call.info.previous_turn)
         try:
             await self._turns.save(turn, call.deadline)
@@ -418,13 +382,5 @@
         )
 
 
-class _BrokenStreamError(Exception):
-    """Raised when a stream breaks off after the event with the id last_id."""
-
-    def __init__(self, message: str, last_id: str | None) -> None:
-        super().__init__(message)
-        self.last_id = last_id
-
-
 def _error_body(error: JayvalveError) -> bytes:
     return json.dumps(error.as_document()).encode()
--- a/tests/cover/test_gateway_endless_answers.py
+++ b/tests/cover/test_gateway_endless_answers.py
@@ -7,6 +7,8 @@
 import threading
 import time
 
+import psutil
+
 from jayvalve.internal.gateway.events import EventSplitter, EventTooLargeError
 from jayvalve.internal.gateway.http_client import (
     BrokenConnectionError,
@@ -15,6 +17,8 @@
     PoolSettings,
 )
 from jayvalve.internal.timing import Clock
+from jayvalve.standins.platform_engine import PlatformEngine, PlatformEngineSettings
+from tests.platform_support import Deployment
 from tests.support import AsyncTestCase
 
 FOREIGN = b"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 10\r\n\r\n0123456789"
@@ -141,3 +145,98 @@
         with self.assertRaises(EventTooLargeError):
             for _ in itertools.repeat(None, 100):
                 splitter.feed(b"x" * 1000)
+
+    def test_blank_lines_and_comments_without_end_are_cut(self):
+        """Guards against a stream that occupies a gateway without an event."""
+        for flood in (b"\n", b"\r\n", b"\r", b":\n\n", b"id\n\n", b"x\n", b"data\n"):
+            splitter = EventSplitter(max_event_bytes=100_000)
+            started_s = time.monotonic()
+            with self.assertRaises(EventTooLargeError):
+                for _ in range(100):
+                    splitter.feed(flood * (16_384 // len(flood)))
+            self.assertLess(time.monotonic() - started_s, MAX_PAUSE_S * 8, flood)
+
+
+class EndlessStreamTests(AsyncTestCase):
+    """Guards against one stream that delays or ends the requests of other callers."""
+
+    STREAM = (
+        b"HTTP/1.1 200 OK\r\nX-Jayvalve-Attempt-Id: endless\r\nX-Jayvalve-Server-Signature: s\r\n"
+        b"Content-Type: text/event-stream\r\n"
+    )
+    FRAMINGS = (b"Content-Length: 999999999999\r\n\r\n", b"\r\n")
+
+    def relay(self, path, repeated, framing, headers=None):
+        """Relay an endless stream beside other calls.
+
+        Returns the longest pause of the event loop, the growth of the process in MiB and the
+        longest other call, in seconds.
+        """
+
+        async def others(deployment, stop):
+            longest_s = 0.0
+            for number in itertools.count():
+                if stop.is_set():
+                    return longest_s
+                started_s = time.monotonic()
+                answer = await deployment.call("/charge/1", attempt=f"other-{number}", body=b"x")
+                self.assertEqual(200, answer.status)
+                longest_s = max(longest_s, time.monotonic() - started_s)
+            return longest_s
+
+        async def run():
+            async with Deployment.run(models=0, tools=1) as deployment:
+                with flooding_server(self.STREAM + framing, repeated) as (host, port):
+                    engine = PlatformEngine(PlatformEngineSettings(id="endless"))
+                    entry = engine.entry("models", f"{host}:{port}")
+                    deployment.store.put("keyed.servers", "endless", entry)
+                    async with asyncio.timeout(5.0):
+                        while "endless" not in {key.id for key in deployment.gateways[0].engines}:
+                            await asyncio.sleep(0.02)
+                    process, stop = psutil.Process(), asyncio.Event()
+                    before, peak = process.memory_info().rss, 0
+                    watch = asyncio.ensure_future(longest_pause())
+                    other = asyncio.ensure_future(others(deployment, stop))
+                    reader, writer = await asyncio.open_connection("127.0.0.1", deployment.ports[0])
+                    lines = {
+                        "Host": "shop.example",
+                        "X-Jayvalve-Attempt-Id": "endless",
+                        "X-Jayvalve-Deadline-Ms": "1500",
+                        "Content-Length": "1",
+                        **(headers or {}),
+                    }
+                    head = "".join(f"{name}: {value}\r\n" for name, value in lines.items())
+                    writer.write(f"POST {path} HTTP/1.1\r\n{head}\r\nx".encode())
+                    last = b""
+                    while data := await reader.read(65_536):
+                        last = (last + data)[-5:]
+                        peak = max(peak, process.memory_info().rss)
+                    writer.close()
+                    self.assertNotEqual(b"0\r\n\r\n", last)
+                    stop.set()
+                    longest_s = await other
+                    watch.cancel()
+                    for gateway in deployment.gateways:
+                        await gateway.stop()
+                    return await watch, (peak - before) / 2**20, longest_s
+
+        return self.run_async(run(), timeout_s=30.0)
+
+    def test_a_stream_without_end_leaves_other_calls_alone(self):
+        event = b"data: " + b"x" * 60_000 + b"\n\n"
+        cases = [
+            ("/advice/1", b"\n", None),
+            ("/advice/1", b": keep-alive\n\n", None),
+            ("/advice/1", b":\n\n", None),
+            ("/advice/1", b"data: x\n\n", {"X-Jayvalve-Token-Usage": "100,100"}),
+            ("/advice/1", event, None),
+            ("/chat/1", event, None),
+            ("/chat/1", b"data: x\n\n", None),
+            ("/chat/1", b"x", None),
+        ]
+        for framing in self.FRAMINGS:
+            for path, repeated, headers in cases:
+                with self.subTest(path=path, repeated=repeated[:9], framing=framing[:7]):
+                    pause_s, _, longest_s = self.relay(path, repeated, framing, headers)
+                    self.assertLess(pause_s, MAX_PAUSE_S)
+                    self.assertLess(longest_s, 1.0)
