Bound the memory for answers that are not complete yet

What callers saw: nothing yet; other operators reported a process that ran out of memory with the bytes of one faulty engine. Here one endless stream took a gateway to some 300 MiB of its 170.

Cause: the data of all events was collected for a turn, on routes without turns too and without a limit; other limits applied to each answer alone. Ruled out by existing tests: endless heads and collected bodies.

--- a/src/jayvalve/internal/gateway/event_relay.py
+++ b/src/jayvalve/internal/gateway/event_relay.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from jayvalve.internal.gateway.buffers import BufferShare
 from jayvalve.internal.gateway.calls import Call, Responder
 from jayvalve.internal.gateway.events import (
     Event,
@@ -16,6 +17,8 @@
 
 __all__ = ["BrokenStreamError", "EventRelay", "RelayLimits"]
 
+# Maximum size of the output of a kept turn, in bytes. The store takes 2 MiB in one call.
+MAX_TURN_BYTES = 1024 * 1024
 # A stream may have this many times the events that its caller allows, and a few more, before its
 # engine counts as faulty.
 EVENT_MARGIN_FACTOR = 2
@@ -33,11 +36,13 @@
     Attributes:
         retained: Whether the output is kept as a turn.
         max_events: Maximum number of events with data, or None if the caller names no maximum.
+        max_turn_bytes: Maximum size of the output of a kept turn, in bytes.
 
     """
 
     retained: bool
     max_events: int | None = None
+    max_turn_bytes: int = MAX_TURN_BYTES
 
     @classmethod
     def from_call(cls, call: Call) -> Self:
@@ -50,19 +55,25 @@
 
 
 class EventRelay:
-    """Relays the events of a stream, also over several engines, and keeps what a turn needs."""
+    """Relays the events of a stream, also over several engines, and keeps what a turn needs.
 
-    def __init__(self, responder: Responder, limits: RelayLimits) -> None:
+    Args:
+        share: Memory for an event that is not complete yet and for the output of a kept turn.
+
+    """
+
+    def __init__(self, responder: Responder, share: BufferShare, limits: RelayLimits) -> None:
         self._responder = responder
+        self._share = share
         self._limits = limits
         self._output = bytearray()
         self._last_id: str | None = None
         self._events = 0
 
     @classmethod
-    def from_call(cls, call: Call, responder: Responder) -> Self:
+    def from_call(cls, call: Call, responder: Responder, share: BufferShare) -> Self:
         """Create the relay of a call."""
-        return cls(responder, RelayLimits.from_call(call))
+        return cls(responder, share, RelayLimits.from_call(call))
 
     @property
     def events(self) -> int:
@@ -91,6 +102,7 @@
         try:
             async for chunk in answer.exchange.chunks():
                 await self._write(splitter.feed(chunk))
+                self._check_memory(splitter.held_bytes)
             await self._write(splitter.finish())
             if not answer.head.framed and self._events == events_before:
                 # Nothing but the end of the connection would say that the stream is complete.
@@ -113,3 +125,11 @@
         if self._limits.max_events is not None and self._events > self._limits.max_events:
             raise EventTooLargeError(f"the stream has over {self._limits.max_events} events")
         await self._responder.write(b"".join(event.raw for event in events))
+
+    def _check_memory(self, incomplete_bytes: int) -> None:
+        if len(self._output) > self._limits.max_turn_bytes:
+            raise EventTooLargeError(
+                f"the output of a turn exceeds {self._limits.max_turn_bytes} bytes"
+            )
+        if not self._share.resize(incomplete_bytes + len(self._output)):
+            raise EventTooLargeError("the answers in progress hold too much memory")
--- a/src/jayvalve/internal/gateway/frontend.py
+++ b/src/jayvalve/internal/gateway/frontend.py
@@ -94,7 +94,7 @@
         self._connection = connection
         self._line: Any = None
         self._headers = HTTPHeaders()
-        self._chunks: list[bytes] = []
+        self._body = bytearray()
         self._received_s = 0.0
 
     def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
@@ -107,13 +107,13 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Store a part of the body."""
-        self._chunks.append(chunk)
+        self._body += chunk
 
     def finish(self) -> None:
         """Serve the request, which has arrived completely."""
         line: RequestStartLine = self._line
         request = CallerRequest(
-            line.method, line.path, self._headers, b"".join(self._chunks), self._received_s
+            line.method, line.path, self._headers, bytes(self._body), self._received_s
         )
         self._frontend.serve(request, self._connection)
 
--- a/src/jayvalve/internal/gateway/service.py
+++ b/src/jayvalve/internal/gateway/service.py
@@ -21,6 +21,7 @@
     UnavailableError,
 )
 from jayvalve.internal.gateway.budgets import TurnBudgets, TurnGrant
+from jayvalve.internal.gateway.buffers import AnswerBuffers
 from jayvalve.internal.gateway.calls import (
     AttemptHistory,
     Call,
@@ -81,6 +82,7 @@
     Args:
         log_context: Returns additional fields for each request's log line: the gateway's current
             view of the engines, the store and the other gateways.
+        buffers: Memory for answers that are not complete yet.
 
     """
 
@@ -95,7 +97,9 @@
         metrics: Metrics,
         log: DecisionLog,
         log_context: Callable[[], dict[str, Any]],
+        buffers: AnswerBuffers,
     ) -> None:
+        self._buffers = buffers
         self._sender = sender
         self._budgets = budgets
         self._turns = turns
@@ -215,19 +219,22 @@
                 self._sender.close(answer, received)
 
     async def _relay(self, answer: EngineAnswer, responder: Responder) -> None:
-        """Relay an answer; one of at most MAX_BUFFERED_BYTES is sent only when it is complete."""
+        """Relay an answer; one that fits into the buffers is sent only when it is complete."""
         head = answer.head
         buffer = bytearray()
-        async for chunk in answer.exchange.chunks():
-            if responder.started:
-                await responder.write(chunk)
-                continue
-            buffer += chunk
-            if len(buffer) > MAX_BUFFERED_BYTES:
-                responder.start(
-                    head.status, head.reason, self._codec.response_headers(head.headers)
-                )
-                await responder.write(bytes(buffer))
+        with self._buffers.open() as share:
+            async for chunk in answer.exchange.chunks():
+                if responder.started:
+                    await responder.write(chunk)
+                    continue
+                buffer += chunk
+                if len(buffer) > MAX_BUFFERED_BYTES or not share.resize(len(buffer)):
+                    responder.start(
+                        head.status, head.reason, self._codec.response_headers(head.headers)
+                    )
+                    await responder.write(bytes(buffer))
+                    buffer.clear()
+                    share.resize(0)
         if not responder.started:
             headers = self._codec.response_headers(head.headers)
             headers["Content-Length"] = str(len(buffer))
@@ -270,11 +277,12 @@
 
     async def _relay_stream(self, call: Call, responder: Responder, progress: _Progress) -> None:
         """Relay a stream; if a resumable one breaks off, resume it at any engine."""
-        relay = EventRelay.from_call(call, responder)
-        try:
-            await self._relay_attempts(call, responder, progress, relay)
-        finally:
-            progress.events = relay.events
+        with self._buffers.open() as share:
+            relay = EventRelay.from_call(call, responder, share)
+            try:
+                await self._relay_attempts(call, responder, progress, relay)
+            finally:
+                progress.events = relay.events
 
     async def _relay_attempts(
         self, call: Call, responder: Responder, progress: _Progress, relay: EventRelay
--- a/src/jayvalve/platform/process.py
+++ b/src/jayvalve/platform/process.py
@@ -11,6 +11,7 @@
 
 from jayvalve.errors import InvalidSettingsError, UnavailableError
 from jayvalve.internal.gateway.budgets import BudgetSettings, TurnBudgets
+from jayvalve.internal.gateway.buffers import AnswerBuffers
 from jayvalve.internal.gateway.decisions import DecisionLog, LogLimits, LogWriter
 from jayvalve.internal.gateway.directory import DirectorySettings, EngineDirectory
 from jayvalve.internal.gateway.fleet_state import FleetMembers, FleetState
@@ -265,6 +266,7 @@
             self._metrics,
             self._log,
             self._log_context,
+            AnswerBuffers.from_memory(settings.memory_mb),
         )
         self._frontend = Frontend(self._service.handle, clock, CallerLimits())
         self._status = StatusServer(lambda: self.ready, self._metrics, names.READINESS_PATH)
--- a/tests/cover/test_gateway_endless_answers.py
+++ b/tests/cover/test_gateway_endless_answers.py
@@ -27,6 +27,8 @@
 FLOOD_S = 4.0
 # Longest pause of the event loop that other requests do not notice.
 MAX_PAUSE_S = 0.25
+# Memory that one stream may take, including the stand-ins and the caller in this process.
+MAX_GROWTH_MB = 32
 SETTINGS = PoolSettings(max_buffer_bytes=4 * 1024 * 1024)
 
 
@@ -237,6 +239,7 @@
         for framing in self.FRAMINGS:
             for path, repeated, headers in cases:
                 with self.subTest(path=path, repeated=repeated[:9], framing=framing[:7]):
-                    pause_s, _, longest_s = self.relay(path, repeated, framing, headers)
+                    pause_s, growth_mb, longest_s = self.relay(path, repeated, framing, headers)
                     self.assertLess(pause_s, MAX_PAUSE_S)
+                    self.assertLess(growth_mb, MAX_GROWTH_MB)
                     self.assertLess(longest_s, 1.0)
