Count engines that end together as one end against a request

Cause: a request is blocked after the ends of three engines, however close they lie. Ruled out: the fingerprint.

Change: ends count separately only on trials, or for runs that began over a second after another end. An end has the time at which the run broke off. Calls wait up to 1 s for a trial of the same request instead of being refused at once.

--- a/src/jayvalve/internal/gateway/calls.py
+++ b/src/jayvalve/internal/gateway/calls.py
@@ -69,6 +69,7 @@
         permit_s: Time for which the attempt waited for a permit, as the engine has limited its
             rate, in seconds; None if it needed none.
         reused: Whether the attempt used a kept-alive connection.
+        on_trial: Whether an engine was known to have ended under the call.
 
     """
 
@@ -78,6 +79,7 @@
     wait_s: float
     permit_s: float | None = None
     reused: bool = False
+    on_trial: bool = False
     outcome: str = "cancelled"
     elapsed_s: float = 0.0
 
@@ -90,6 +92,7 @@
             "wait_ms": round(self.wait_s * 1000),
             "permit_ms": None if self.permit_s is None else round(self.permit_s * 1000, 1),
             "reused": self.reused,
+            "on_trial": self.on_trial,
             "outcome": self.outcome,
             "ms": round(self.elapsed_s * 1000, 1),
         }
--- a/src/jayvalve/internal/gateway/crash_guard.py
+++ b/src/jayvalve/internal/gateway/crash_guard.py
@@ -1,5 +1,7 @@
 """Protection of engines against requests under which engines have ended."""
 
+import asyncio
+
 from jayvalve.errors import EndpointFailedError, RequestBlockedError
 from jayvalve.internal.gateway.calls import AttemptHistory, Call
 from jayvalve.internal.gateway.crash_records import CrashRecords
@@ -14,6 +16,10 @@
 # When a caller may repeat a request that runs elsewhere, or that has to wait until more engines are
 # back, in seconds.
 _TRIAL_RETRY_AFTER_S = 0.3
+# How long a call waits for the trial of the same request, and how often it asks, in seconds. Most
+# suspected requests are sound, and callers that are refused again and again give up.
+_TRIAL_WAIT_S = 1.0
+_TRIAL_POLL_S = 0.1
 
 
 class CrashGuard:
@@ -53,6 +59,8 @@
 
         After a fingerprint, end() must follow when the attempt is over.
 
+        While the same request of another caller is on trial, waits for the outcome for a while.
+
         Raises:
             RequestBlockedError, EndpointFailedError: the call must not be sent, because too many
                 engines ended while they ran it or because it runs at another engine now.
@@ -61,14 +69,22 @@
         if self._records.empty:
             return None
         fingerprint = _fingerprint(call)
-        ends = self._records.ends(fingerprint)
-        if not ends:
-            return None
-        retry_after_s = self._records.blocked_for_s(fingerprint)
-        if retry_after_s is None:
-            if self._may_risk_engine(call, ends) and await self._trials.begin(fingerprint):
-                return fingerprint
+        waited_s = 0.0
+        while ends := self._records.ends(fingerprint):
+            retry_after_s = self._records.blocked_for_s(fingerprint)
+            if retry_after_s is not None:
+                break
             retry_after_s = _TRIAL_RETRY_AFTER_S
+            if not self._may_risk_engine(call, ends):
+                break
+            if await self._trials.begin(fingerprint):
+                return fingerprint
+            if waited_s >= min(_TRIAL_WAIT_S, call.deadline.remaining_s):
+                break
+            await asyncio.sleep(_TRIAL_POLL_S)
+            waited_s += _TRIAL_POLL_S
+        else:
+            return None
         message = f"engines ended while they ran this request ({fingerprint})"
         if history.may_have_run:
             raise EndpointFailedError(message)
@@ -78,9 +94,19 @@
         """End the trial that begin() started."""
         self._crashes.end_trial(fingerprint)
 
-    def record_broken(self, call: Call, view: EngineView) -> None:
-        """Check the engine at which a call broke off."""
-        self._crashes.record_broken(view.key, view.record.address, _fingerprint(call))
+    def record_broken(self, call: Call, view: EngineView, on_trial: bool, run_s: float) -> None:
+        """Check the engine at which a call broke off.
+
+        Args:
+            call: The call.
+            view: The engine.
+            on_trial: Whether the attempt was a trial.
+            run_s: Duration of the attempt, in seconds.
+
+        """
+        self._crashes.record_broken(
+            view.key, view.record.address, _fingerprint(call), on_trial, run_s
+        )
 
     def record_complete(self, call: Call) -> None:
         """Clear a call that an engine has answered completely."""
--- a/src/jayvalve/internal/gateway/crash_records.py
+++ b/src/jayvalve/internal/gateway/crash_records.py
@@ -2,11 +2,13 @@
 
 A request may end each engine that begins to run it. Other requests that ran there at the same time
 look alike, so a single end proves nothing: a request is blocked after the ends of several engines
-that no other request with more of them explains, and a request that completes is cleared.
+that no other request with more of them explains, and a request that completes is cleared. Engines
+that end together may have a common cause, such as a loss of power, and count as one.
 """
 
 import math
 from collections import OrderedDict
+from collections.abc import Collection, Iterable
 from typing import Any
 
 import attrs
@@ -20,13 +22,17 @@
 _log = logger.bind(part="crash_records")
 
 
+# Time within which the gateways learn of the end of an engine, in seconds.
+NEWS_S = 1.0
+
+
 @attrs.frozen
 class CrashSettings:
     """Parameters of the decision.
 
     Attributes:
-        blocked_after: Number of engines that must have ended while they ran a request before it
-            is blocked.
+        blocked_after: Number of engines that must have ended one after the other while they ran a
+            request before it is blocked.
         retention_s: How long the end of an engine counts, in seconds. A blocked request is tried
             again after this time without another end.
         max_requests: Maximum number of requests that are remembered; those whose last engine
@@ -52,18 +58,25 @@
         fingerprint: Checksum that identifies the request, whichever gateway it reaches.
         engine: The engine, or None if the request completed.
         age_s: Seconds since the end of the engine or the completion.
+        on_trial: Whether an earlier end was known when the engine began the request. Gateways of
+            an earlier release do not tell; their reports count as such.
+        run_s: How long the engine had run the request, in seconds.
 
     """
 
     fingerprint: str
     engine: EngineKey | None
     age_s: float
+    on_trial: bool = True
+    run_s: float = 0.0
 
 
 def encode_crash(report: CrashReport) -> list[Any]:
     """Return the fields of a report as they are sent to another gateway."""
-    engine = [report.engine.id, report.engine.born_ms] if report.engine is not None else []
-    return [report.fingerprint, report.age_s, *engine]
+    if report.engine is None:
+        return [report.fingerprint, report.age_s]
+    engine = [report.engine.id, report.engine.born_ms]
+    return [report.fingerprint, report.age_s, *engine, report.on_trial, report.run_s]
 
 
 def decode_crash(fields: list[Any]) -> CrashReport:
@@ -74,26 +87,66 @@
 
     """
     fingerprint, age_s, *engine = fields
-    age = float(age_s)
-    if not isinstance(fingerprint, str) or not (math.isfinite(age) and age >= 0.0):
+    age = _decode_seconds(age_s)
+    if not isinstance(fingerprint, str):
         raise ValueError(f"{fields!r} does not describe the end of an engine")
     if not engine:
         return CrashReport(fingerprint, None, age)
-    engine_id, born_ms = engine
+    engine_id, born_ms, *run = engine
     if type(born_ms) is not int:
         raise ValueError(f"{born_ms!r} is not the start time of an engine")
-    return CrashReport(fingerprint, EngineKey(str(engine_id), born_ms), age)
+    key = EngineKey(str(engine_id), born_ms)
+    if not run:
+        return CrashReport(fingerprint, key, age)
+    on_trial, run_s = run
+    return CrashReport(fingerprint, key, age, bool(on_trial), _decode_seconds(run_s))
+
+
+def _decode_seconds(value: Any) -> float:
+    seconds = float(value)
+    if not (math.isfinite(seconds) and seconds >= 0.0):
+        raise ValueError(f"{value!r} is not a duration")
+    return seconds
+
+
+@attrs.frozen
+class _End:
+    """End of an engine: the times at which it began the request and ended."""
+
+    at_s: float
+    began_s: float
+    on_trial: bool
+
+
+def _count_separate(ends: Iterable[_End]) -> int:
+    """Return how many of the ends have no common cause in time.
+
+    A trial begins after the ends before it. Another run does so only if it began when the gateways
+    must have known of these.
+    """
+    count, last_s = 0, float("-inf")
+    for end in sorted(ends, key=lambda end: end.at_s):
+        if end.on_trial:
+            count += 1
+        elif end.began_s > last_s + NEWS_S:
+            count += 1
+            last_s = end.at_s
+    return count
 
 
 @attrs.define
 class _Suspect:
-    ends: dict[EngineKey, float] = attrs.field(factory=dict)
+    ends: dict[EngineKey, _End] = attrs.field(factory=dict)
     cleared_s: float = float("-inf")
     blocked: bool = False
 
     @property
     def last_s(self) -> float:
-        return max(self.ends.values(), default=self.cleared_s)
+        return max((end.at_s for end in self.ends.values()), default=self.cleared_s)
+
+    def separate_ends(self, explained: Collection[EngineKey] = ()) -> int:
+        """Return how many engines ended one after the other and not under another request."""
+        return _count_separate(end for key, end in self.ends.items() if key not in explained)
 
 
 class CrashRecords:
@@ -158,7 +211,8 @@
             if report.engine is None:
                 news |= self._clear(report.fingerprint, at_s)
             else:
-                news |= self._add_end(report.fingerprint, report.engine, at_s)
+                end = _End(at_s, at_s - max(0.0, report.run_s), report.on_trial)
+                news |= self._add_end(report.fingerprint, report.engine, end)
         self._expire()
         limit = self._settings.blocked_after
         if news and (
@@ -189,16 +243,20 @@
         if not suspect.ends:
             return [CrashReport(fingerprint, None, now - suspect.cleared_s)]
         return [
-            CrashReport(fingerprint, engine, now - at_s) for engine, at_s in suspect.ends.items()
+            CrashReport(fingerprint, engine, now - end.at_s, end.on_trial, end.at_s - end.began_s)
+            for engine, end in suspect.ends.items()
         ]
 
-    def _add_end(self, fingerprint: str, engine: EngineKey, at_s: float) -> bool:
+    def _add_end(self, fingerprint: str, engine: EngineKey, end: _End) -> bool:
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             suspect = self._suspects[fingerprint] = _Suspect()
-        if engine in suspect.ends or at_s <= suspect.cleared_s:
+        known = suspect.ends.get(engine)
+        if end.at_s <= suspect.cleared_s or (
+            known is not None and (known.on_trial or not end.on_trial)
+        ):
             return False
-        suspect.ends[engine] = at_s
+        suspect.ends[engine] = end
         self._ended[engine] = None
         if len(self._ended) > self._settings.max_requests:
             self._ended.popitem(last=False)
@@ -212,7 +270,7 @@
         if suspect is None or at_s <= suspect.cleared_s:
             return False
         suspect.cleared_s = at_s
-        suspect.ends = {engine: end_s for engine, end_s in suspect.ends.items() if end_s > at_s}
+        suspect.ends = {engine: end for engine, end in suspect.ends.items() if end.at_s > at_s}
         self._suspects.move_to_end(fingerprint)
         return True
 
@@ -223,14 +281,16 @@
         all gateways with the same records block the same requests.
         """
         limit = self._settings.blocked_after
-        culprits = [suspect for suspect in self._suspects.values() if len(suspect.ends) >= limit]
+        culprits = [
+            suspect for suspect in self._suspects.values() if suspect.separate_ends() >= limit
+        ]
         self._has_culprits = bool(culprits)
         for fingerprint, suspect in self._suspects.items():
             explained: set[EngineKey] = set()
             for culprit in culprits:
                 if len(culprit.ends) > len(suspect.ends):
                     explained.update(culprit.ends)
-            blocked = len(suspect.ends.keys() - explained) >= limit
+            blocked = suspect.separate_ends(explained) >= limit
             if blocked != suspect.blocked:
                 suspect.blocked = blocked
                 _log.bind(
--- a/src/jayvalve/internal/gateway/crashes.py
+++ b/src/jayvalve/internal/gateway/crashes.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import attrs
 from loguru import logger
 
 from jayvalve.internal.gateway.calls import CallerRequest
@@ -38,6 +39,21 @@
     return digest("\n".join(parts).encode() + b"\n" + request.body)
 
 
+@attrs.frozen
+class _Run:
+    """Run of a request that broke off at a time."""
+
+    broke_s: float
+    run_s: float
+    on_trial: bool
+
+
+def _add_run(runs: dict[str, _Run], fingerprint: str, run: _Run) -> None:
+    known = runs.get(fingerprint)
+    if known is None or (run.on_trial and not known.on_trial):
+        runs[fingerprint] = run
+
+
 class CrashDetector:
     """Finds out whether an engine has ended under the requests that broke off there.
 
@@ -67,19 +83,36 @@
         self._records = records
         self._pool = pool
         self._on_news = on_news
-        # Requests at engines that are being checked.
-        self._broken: dict[EngineKey, set[str]] = {}
-        # Requests at engines that accepted connections again, with the time of the check.
-        self._unconfirmed: dict[EngineKey, tuple[float, set[str]]] = {}
+        # Runs at engines that are being checked.
+        self._broken: dict[EngineKey, dict[str, _Run]] = {}
+        # Runs at engines that accepted connections again, with the time of the check.
+        self._unconfirmed: dict[EngineKey, tuple[float, dict[str, _Run]]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def record_broken(self, engine: EngineKey, address: tuple[str, int], fingerprint: str) -> None:
-        """Check the engine at which a request broke off, and record its end if it has ended."""
+    def record_broken(
+        self,
+        engine: EngineKey,
+        address: tuple[str, int],
+        fingerprint: str,
+        on_trial: bool = False,
+        run_s: float = 0.0,
+    ) -> None:
+        """Check the engine at which a request broke off, and record its end if it has ended.
+
+        Args:
+            engine: The engine.
+            address: IP address and port of the engine.
+            fingerprint: The request.
+            on_trial: Whether the request ran there on trial.
+            run_s: Time from the start of the attempt until it broke off, in seconds.
+
+        """
+        run = _Run(self._clock.now(), run_s, on_trial)
         pending = self._broken.get(engine)
         if pending is not None:
-            pending.add(fingerprint)
+            _add_run(pending, fingerprint, run)
             return
-        self._broken[engine] = {fingerprint}
+        self._broken[engine] = {fingerprint: run}
         task = asyncio.ensure_future(self._check(engine, address))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -103,12 +136,12 @@
         try:
             ended = await self._pool.refuses_connections(address)
         finally:
-            fingerprints = self._broken.pop(engine)
+            runs = self._broken.pop(engine)
         if ended:
-            self._record_end(engine, fingerprints)
+            self._record_end(engine, runs)
         else:
-            self._await_restart(engine, fingerprints)
-        for fingerprint in fingerprints:
+            self._await_restart(engine, runs)
+        for fingerprint in runs:
             self._trials.end(fingerprint)
 
     def end_trial(self, fingerprint: str) -> None:
@@ -116,26 +149,32 @@
         if not any(fingerprint in names for names in self._broken.values()):
             self._trials.end(fingerprint)
 
-    def _await_restart(self, engine: EngineKey, fingerprints: set[str]) -> None:
+    def _await_restart(self, engine: EngineKey, runs: dict[str, _Run]) -> None:
         now = self._clock.now()
         self._unconfirmed = {
-            key: (at_s, names)
-            for key, (at_s, names) in self._unconfirmed.items()
+            key: (at_s, earlier)
+            for key, (at_s, earlier) in self._unconfirmed.items()
             if now - at_s <= self.RESTART_VISIBLE_S
         }
-        _, earlier = self._unconfirmed.get(engine, (now, set()))
-        self._unconfirmed[engine] = now, earlier | fingerprints
+        _, all_runs = self._unconfirmed.get(engine, (now, {}))
+        for fingerprint, run in runs.items():
+            _add_run(all_runs, fingerprint, run)
+        self._unconfirmed[engine] = now, all_runs
 
     def record_restart(self, engine: EngineKey) -> None:
         """Record the end of an engine whose next incarnation has appeared."""
-        at_s, fingerprints = self._unconfirmed.pop(engine, (0.0, set()))
-        if fingerprints and self._clock.now() - at_s <= self.RESTART_VISIBLE_S:
-            self._record_end(engine, fingerprints)
+        at_s, runs = self._unconfirmed.pop(engine, (0.0, {}))
+        if runs and self._clock.now() - at_s <= self.RESTART_VISIBLE_S:
+            self._record_end(engine, runs)
 
-    def _record_end(self, engine: EngineKey, fingerprints: set[str]) -> None:
-        _log.bind(engine=engine.id, requests=len(fingerprints)).info(
+    def _record_end(self, engine: EngineKey, runs: dict[str, _Run]) -> None:
+        _log.bind(engine=engine.id, requests=len(runs)).info(
             "an engine ended while it ran requests"
         )
-        reports = [CrashReport(fingerprint, engine, 0.0) for fingerprint in fingerprints]
+        now = self._clock.now()
+        reports = [
+            CrashReport(fingerprint, engine, now - run.broke_s, run.on_trial, run.run_s)
+            for fingerprint, run in runs.items()
+        ]
         if self._records.record(reports):
             self._on_news()
--- a/src/jayvalve/internal/gateway/sender.py
+++ b/src/jayvalve/internal/gateway/sender.py
@@ -182,7 +182,9 @@
             trial = await self._guard.begin(call, history)
             answer: EngineAnswer | None = None
             try:
-                answer = await self._place_and_send(call, history, extra_headers)
+                answer = await self._place_and_send(
+                    call, history, extra_headers, on_trial=trial is not None
+                )
             finally:
                 if trial is not None and answer is None:
                     self._guard.end(trial)
@@ -218,10 +220,15 @@
     def record_broken(self, answer: EngineAnswer) -> None:
         """Record that an engine's answer broke off."""
         self._health.record(answer.view.key.id, failed=True)
-        self._guard.record_broken(answer.call, answer.view)
+        run_s = self._clock.now() - answer.started_s
+        self._guard.record_broken(answer.call, answer.view, answer.attempt.on_trial, run_s)
 
     async def _place_and_send(
-        self, call: Call, history: AttemptHistory, extra_headers: tuple[tuple[str, str], ...]
+        self,
+        call: Call,
+        history: AttemptHistory,
+        extra_headers: tuple[tuple[str, str], ...],
+        on_trial: bool,
     ) -> EngineAnswer | None:
         """Choose an engine and send a call; return its answer, or None for another attempt."""
         chosen = await self._chooser.choose(call, history)
@@ -231,6 +238,7 @@
             chosen.placement.candidate.cached_tokens,
             chosen.placement.wait_s,
             chosen.permit_s,
+            on_trial=on_trial,
         )
         history.attempts.append(attempt)
         return await self._attempt(call, chosen.view, attempt, history, extra_headers)
@@ -324,7 +332,8 @@
         if isinstance(error, BrokenConnectionError):
             attempt.outcome = "broken"
             self._record_failure(view)
-            self._guard.record_broken(call, view)
+            run_s = self._clock.now() - started_s
+            self._guard.record_broken(call, view, attempt.on_trial, run_s)
             return
         attempt.outcome = "silent"
         # A timeout is not recorded as a failure if the engine has completed another answer since
--- a/tests/cover/test_gateway_crashes.py
+++ b/tests/cover/test_gateway_crashes.py
@@ -1,6 +1,7 @@
 """A request under which engines end is not sent to one engine after the other."""
 
 import asyncio
+import itertools
 import random
 
 import attrs
@@ -13,7 +14,13 @@
 from jayvalve.internal.gateway.calls import AttemptHistory, Call, CallerRequest
 from jayvalve.internal.gateway.coordinators import Coordinators
 from jayvalve.internal.gateway.crash_guard import CrashGuard
-from jayvalve.internal.gateway.crash_records import CrashRecords, CrashReport, CrashSettings
+from jayvalve.internal.gateway.crash_records import (
+    CrashRecords,
+    CrashReport,
+    CrashSettings,
+    decode_crash,
+    encode_crash,
+)
 from jayvalve.internal.gateway.crashes import CrashDetector, fingerprint_of
 from jayvalve.internal.gateway.departures import Departures, DepartureSettings
 from jayvalve.internal.gateway.directory import DirectorySettings, EngineDirectory
@@ -85,6 +92,47 @@
             self.end(number, BAD, f"neighbour-{number}")
         self.assertEqual([BAD], self.blocked(BAD, "neighbour-0", "neighbour-1", "neighbour-2"))
 
+    def end_running(self, number, run_s, on_trial=False, age_s=0.0):
+        """Record the end of an engine that had run the request for run_s seconds."""
+        self.records.record([CrashReport(BAD, engine(number), age_s, on_trial, run_s)])
+
+    def test_engines_that_end_together_count_as_one(self):
+        """Guards against blocking what many callers send because engines lost power together."""
+        for number in range(5):
+            self.end_running(number, 0.1 * (number + 1), age_s=0.05 * number)
+        self.assertEqual([], self.blocked(BAD))
+        for number in (5, 6):
+            self.assertEqual([], self.blocked(BAD))
+            self.clock.advance(0.01)
+            self.end_running(number, 1.0, on_trial=True)
+        self.assertEqual([BAD], self.blocked(BAD))
+
+    def test_ends_one_after_the_other_count_without_a_trial(self):
+        """Guards against a request that gateways without news of it send to engine after engine."""
+        for number in range(3):
+            self.assertEqual([], self.blocked(BAD))
+            self.clock.advance(2.0)
+            self.end_running(number, 0.5)
+        self.assertEqual([BAD], self.blocked(BAD))
+
+    def test_a_trial_counts_although_another_run_at_the_engine_was_none(self):
+        """Guards against a request that is never blocked because two gateways sent it."""
+        for number in range(3):
+            self.end_running(number, 5.0)
+            self.end_running(number, 0.1, on_trial=True)
+        self.assertEqual([BAD], self.blocked(BAD))
+
+    def test_reports_survive_their_encoding(self):
+        """Guards against gateways that count the same ends differently."""
+        reports = [
+            CrashReport(BAD, engine(1), 2.0, on_trial, run_s)
+            for on_trial, run_s in ((True, 0.0), (False, 1.5))
+        ]
+        for report in (*reports, CrashReport(BAD, None, 1.0)):
+            self.assertEqual(report, decode_crash(encode_crash(report)))
+        earlier_release = [BAD, 2.0, "engine-1", 1]
+        self.assertEqual(CrashReport(BAD, engine(1), 2.0), decode_crash(earlier_release))
+
     def test_reports_of_one_engine_by_several_gateways_count_once(self):
         """Guards against blocking a request after the end of a single engine."""
         for _ in range(5):
@@ -209,7 +257,14 @@
         """Guards against a message that blocks a request for ever."""
         records = CrashRecords(Clock(), CrashSettings())
         detector = CrashDetector(records, None, self.trials(records), Clock(), lambda: None)
-        for fields in (["a", -1.0, "e", 1], ["a", float("nan")], [1, 0.0], ["a", 0.0, "e", "x"]):
+        for fields in (
+            ["a", -1.0, "e", 1],
+            ["a", float("nan")],
+            [1, 0.0],
+            ["a", 0.0, "e", "x"],
+            ["a", 0.0, "e", 1, True, -1.0],
+            ["a", 0.0, "e", 1, True],
+        ):
             self.assertRaises((ValueError, TypeError), detector.receive, [fields])
 
 
@@ -388,6 +443,60 @@
 
         self.run_async(work())
 
+    def test_a_common_input_is_served_after_engines_ended_together(self):
+        """Guards against LOST: equal inputs of other conversations refused for minutes."""
+
+        async def work():
+            async with Deployment.run(gateways=2, models=6, tools=0) as deployment:
+                count = itertools.count()
+
+                async def turn(program, body, previous=None):
+                    number = next(count)
+                    attempt = f"turn-{number}"
+                    headers = {"X-Jayvalve-Program-Id": program}
+                    if previous is not None:
+                        headers["X-Jayvalve-Previous-Turn"] = previous
+                    answer = await deployment.call(
+                        "/chat/x",
+                        gateway=number % 2,
+                        attempt=attempt,
+                        body=body,
+                        headers=headers,
+                    )
+                    return attempt, answer
+
+                programs = {}
+                for number in range(11):
+                    name = f"program-{number}"
+                    programs[name], answer = await turn(name, b"question %d" % number)
+                    self.assertEqual(200, answer.status)
+                for model in deployment.engines.values():
+                    model.settings = attrs.evolve(model.settings, work_ms=100.0)
+                names = list(programs)
+                for _ in range(20):
+                    running = [
+                        asyncio.ensure_future(turn(name, b"yes", programs[name]))
+                        for name in names[:3]
+                    ]
+                    await asyncio.sleep(0.15)
+                    busy = [name for name, model in deployment.engines.items() if model.running]
+                    if len(busy) == 3:
+                        break
+                    await asyncio.gather(*running)
+                self.assertEqual(3, len(busy))
+                for name in busy:
+                    await deployment.engines[name].stop()
+                await asyncio.gather(*running)
+                await asyncio.sleep(0.5)
+                for name in busy:
+                    await deployment.replace_engine(name, "models")
+                answers = await asyncio.gather(
+                    *(turn(name, b"yes", programs[name]) for name in names[3:])
+                )
+                self.assertEqual([200] * 8, [answer.status for _, answer in answers])
+
+        self.run_async(work())
+
     def test_streams_that_break_off_at_a_live_engine_are_not_blocked(self):
         """Guards against refusing calls whose connections were reset."""
 
