Refuse entries of engines with missing fields or numbers out of bounds

Cause: decode_engine checked some fields only and gave others defaults. An integer beyond the range of floating point raised an error in the choice of an engine. Ruled out: deep nesting and ports out of range, refused before.

Change: every field of the page is required, typed and bounded, born is optional; ids must fit into a header; numbers of a configuration are bounded. Refused entries are logged.

--- a/src/jayvalve/platform/followers.py
+++ b/src/jayvalve/platform/followers.py
@@ -6,7 +6,7 @@
 from jayvalve.internal.gateway.decisions import DecisionLog
 from jayvalve.internal.gateway.directory import EngineDirectory
 from jayvalve.internal.gateway.follower import FollowerSettings, KeyedFollower
-from jayvalve.internal.gateway.model import RoutingTable
+from jayvalve.internal.gateway.model import EngineRecord, RoutingTable
 from jayvalve.internal.gateway.peer_directory import PeerDirectory
 from jayvalve.internal.timing import Clock
 from jayvalve.platform import names
@@ -115,11 +115,17 @@
 
     def _replace_engines(self, values: dict[str, bytes]) -> None:
         self._directory.replace_all(
-            {key: decode_engine(key, value) for key, value in values.items()}
+            {key: self._decode_engine(key, value) for key, value in values.items()}
         )
 
     def _apply_engine(self, key: str, value: bytes | None) -> None:
-        self._directory.apply(key, None if value is None else decode_engine(key, value))
+        self._directory.apply(key, None if value is None else self._decode_engine(key, value))
+
+    def _decode_engine(self, key: str, value: bytes) -> EngineRecord | None:
+        record = decode_engine(key, value)
+        if record is None:
+            self._log.write("engine entry refused", key=ascii(key)[:80], bytes=len(value))
+        return record
 
     def _replace_peers(self, values: dict[str, bytes]) -> None:
         decoded = {key: self._decode_peer(key, value) for key, value in values.items()}
--- a/src/jayvalve/platform/records.py
+++ b/src/jayvalve/platform/records.py
@@ -21,28 +21,34 @@
 __all__ = ["decode_configuration", "decode_engine"]
 
 MS_PER_S = 1000.0
+# Largest whole number that is taken, which messages between gateways and arithmetic can carry.
+MAX_INTEGER = 2**53
 
 
 def decode_engine(engine_id: str, value: bytes) -> EngineRecord | None:
-    """Return the engine that a record describes, or None if the record is not valid.
+    """Return the engine that a record describes, or None if the record names no engine to use.
 
     Records may come from other writers: they may be unreadable, lack fields or have fields of
-    another type.
+    another type. All fields of an entry must be valid, since such a record may stand under the id
+    of an engine whose own entry it has replaced. Only ``born`` may be missing.
     """
     try:
+        _require_id(engine_id)
         entry = json.loads(value)
         host, _, port = entry["address"].rpartition(":")
-        slots = entry["slots"]
-        if type(slots) is not int or slots < 1 or not isinstance(entry["service"], str):
+        slots = _require_count(entry["slots"])
+        if slots < 1:
             return None
+        _require_text(entry["version"])
+        _require_count(entry["sequence"])
         return EngineRecord(
-            key=EngineKey(engine_id, _require_integer(entry.get("born", 0))),
-            service=entry["service"],
+            key=EngineKey(engine_id, _require_count(entry.get("born", 0))),
+            service=_require_text(entry["service"]),
             address=checked_address(host, port),
-            data_centre=entry["zone"] if isinstance(entry.get("zone"), str) else "",
+            data_centre=_require_text(entry["zone"]),
             slots=slots,
             state=EngineState(entry["state"]),
-            warm_up_s=_number_or_zero(entry.get("cold_remaining_ms", 0)) / MS_PER_S,
+            warm_up_s=_require_duration(entry["cold_remaining_ms"]) / MS_PER_S,
         )
     except MALFORMED_ERRORS:
         return None
@@ -57,9 +63,11 @@
     """
     try:
         document = json.loads(value)
-        services = {entry["name"]: _decode_service(entry) for entry in document["services"]}
+        services = {
+            _require_text(entry["name"]): _decode_service(entry) for entry in document["services"]
+        }
         return RoutingTable(
-            version=_require_integer(document["version"]),
+            version=_require_count(document["version"]),
             routes=tuple(_decode_route(entry) for entry in document["routes"]),
             services=services,
             limits=_decode_limits(document.get("limits") or {}),
@@ -71,22 +79,24 @@
 def _decode_route(entry: dict[str, Any]) -> Route:
     split = entry.get("traffic_split")
     if split:
-        services = tuple((part["service"], float(part["weight"])) for part in split)
+        services = tuple(
+            (_require_text(part["service"]), _finite(part["weight"])) for part in split
+        )
     else:
-        services = ((entry["service"], 1.0),)
-    timeout_s = float(entry["timeout_ms"]) / MS_PER_S
+        services = ((_require_text(entry["service"]), 1.0),)
+    timeout_s = _finite(entry["timeout_ms"]) / MS_PER_S
     return Route(
         name=_require_text(entry["name"]),
-        host=entry["host"].lower(),
+        host=_require_text(entry["host"]).lower(),
         path_prefix=_require_text(entry["path_prefix"]),
         kind=RouteKind(entry["type"]),
         services=services,
-        max_attempts=max(1, int(entry.get("max_attempts") or 1)),
+        max_attempts=max(1, _integer(entry.get("max_attempts") or 1)),
         timeout_s=timeout_s,
-        target_s=float(entry.get("target_latency_ms") or timeout_s * MS_PER_S) / MS_PER_S,
-        rank=int(entry.get("priority") or 0),
+        target_s=_finite(entry.get("target_latency_ms") or timeout_s * MS_PER_S) / MS_PER_S,
+        rank=_integer(entry.get("priority") or 0),
         retained=entry.get("retained") is True,
-        retention_s=float(entry.get("retention_s") or 60.0),
+        retention_s=_finite(entry.get("retention_s") or 60.0),
         resumable=entry.get("resumable") is True,
     )
 
@@ -96,37 +106,65 @@
     model = None
     if engine:
         model = ModelServing(
-            slots=int(engine["slots"]),
-            chunk_tokens=int(engine["chunk_tokens"]),
-            kv_cache_tokens=int(engine["kv_cache_tokens"]),
+            slots=_integer(engine["slots"]),
+            chunk_tokens=_integer(engine["chunk_tokens"]),
+            kv_cache_tokens=_integer(engine["kv_cache_tokens"]),
         )
-    return ServiceSpec(entry["name"], int(entry.get("connection_limit") or 64), model)
+    return ServiceSpec(
+        _require_text(entry["name"]), _integer(entry.get("connection_limit") or 64), model
+    )
 
 
 def _decode_limits(entry: dict[str, Any]) -> CallerLimits:
     default = CallerLimits()
     return CallerLimits(
-        max_header_bytes=int(entry.get("max_header_bytes") or default.max_header_bytes),
-        max_body_bytes=int(entry.get("max_body_bytes") or default.max_body_bytes),
-        idle_timeout_s=float(entry.get("idle_timeout_ms") or default.idle_timeout_s * MS_PER_S)
+        max_header_bytes=_integer(entry.get("max_header_bytes") or default.max_header_bytes),
+        max_body_bytes=_integer(entry.get("max_body_bytes") or default.max_body_bytes),
+        idle_timeout_s=_finite(entry.get("idle_timeout_ms") or default.idle_timeout_s * MS_PER_S)
         / MS_PER_S,
     )
 
 
-def _require_integer(value: Any) -> int:
-    if type(value) is not int:
-        raise ValueError(f"{value!r} is not a whole number")
+def _require_count(value: Any) -> int:
+    if type(value) is not int or not 0 <= value <= MAX_INTEGER:
+        raise ValueError(f"{_shorten(value)} is not a whole number from 0 to {MAX_INTEGER}")
     return value
 
 
-def _number_or_zero(value: Any) -> float:
-    number = float(value) if isinstance(value, int | float) else 0.0
-    if not math.isfinite(number):
-        raise ValueError(f"{value!r} is not finite")
-    return number
+def _require_duration(value: Any) -> float:
+    if type(value) not in (int, float) or value < 0:
+        raise ValueError(f"{_shorten(value)} is not a duration")
+    return _finite(value)
 
 
 def _require_text(value: Any) -> str:
     if not isinstance(value, str):
-        raise ValueError(f"{value!r} is not a text")
+        raise ValueError(f"{_shorten(value)} is not a text")
+    # JSON may contain half of a surrogate pair, which no message or log line can carry.
+    value.encode()
     return value
+
+
+def _require_id(value: str) -> None:
+    # Ids are sent in headers.
+    if not value.isascii() or not value.isprintable() or value != value.strip():
+        raise ValueError(f"{_shorten(value)} cannot be sent as an id")
+
+
+def _finite(value: Any) -> float:
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"{_shorten(value)} is not finite")
+    return number
+
+
+def _integer(value: Any) -> int:
+    """Return a whole number that floating-point arithmetic and messages can carry."""
+    number = int(value)
+    if abs(number) > MAX_INTEGER:
+        raise ValueError(f"{_shorten(value)} is larger than {MAX_INTEGER}")
+    return number
+
+
+def _shorten(value: Any) -> str:
+    return repr(value)[:80]
--- a/tests/cover/test_gateway_malformed.py
+++ b/tests/cover/test_gateway_malformed.py
@@ -42,9 +42,11 @@
     "service": "models",
     "address": "10.0.0.9:8080",
     "zone": "zone-a",
+    "version": "v1",
     "slots": 8,
     "state": "ready",
     "cold_remaining_ms": 500,
+    "sequence": 4,
     "born": 1,
 }
 ANY_EXAMPLE = settings(
@@ -130,6 +132,8 @@
         if entry is not None:
             self.assertTrue(0 < entry.address[1] <= 65_535)
             self.assertTrue(math.isfinite(entry.warm_up_s))
+            self.assertTrue(math.isfinite(entry.slots / 3))
+            msgpack.packb([entry.key.born_ms, entry.data_centre, entry.service, entry.slots])
 
     def test_unusual_entries_name_no_engine(self):
         """Guards against errors that the decoder did not expect."""
@@ -141,8 +145,42 @@
             json.dumps({**ENTRY, "cold_remaining_ms": 10**400}).encode(),
             json.dumps({**ENTRY, "cold_remaining_ms": math.inf}).encode(),
         ]
+        for name in ("slots", "sequence", "born", "cold_remaining_ms"):
+            for number in (10**400, 2**64, -1, 1.5e308, math.nan, True, "7", None, [], {}):
+                # A duration may be any number that is finite.
+                if name != "cold_remaining_ms" or number not in (2**64, 1.5e308):
+                    unusual.append(json.dumps({**ENTRY, name: number}).encode())
+        for name in ("service", "zone", "version"):
+            for text in ("\ud800", 5, None, ["a"]):
+                unusual.append(json.dumps({**ENTRY, name: text}).encode())
+        for name in ENTRY:
+            entry = {key: value for key, value in ENTRY.items() if key != name}
+            if name != "born":
+                unusual.append(json.dumps(entry).encode())
         for value in unusual:
             self.assertIsNone(decode_engine("i-1", value), value[:200])
+        valid = json.dumps(ENTRY).encode()
+        for key in ("a\r\nX-Injected: 1", "a\nb", "engine-\u00e9", " a", "\x00"):
+            self.assertIsNone(decode_engine(key, valid), ascii(key))
+        self.assertIsNotNone(decode_engine("i-1", valid))
+
+    def test_numbers_too_large_in_a_configuration_are_refused(self):
+        """Guards against status 500 for every call because of one number."""
+        for section, path in (("routes", ()), ("services", ("engine",))):
+            fields = configuration()[section][0]
+            for step in path:
+                fields = fields[step]
+            for name, value in fields.items():
+                if isinstance(value, bool) or not isinstance(value, int):
+                    continue
+                for number in (10**400, math.inf, math.nan):
+                    document = configuration()
+                    target = document[section][0]
+                    for step in path:
+                        target = target[step]
+                    target[name] = number
+                    encoded = json.dumps(document).encode()
+                    self.assertRaises(InvalidSettingsError, decode_configuration, encoded)
 
     @ANY_EXAMPLE
     @given(
