Answer every request that a stopping gateway has read

What callers saw: reported by other operators: requests that came late in a planned stop were cut without an answer.

Cause: a stopping gateway accepted every request whatever time was left, and closed all connections at nine tenths of the grace time. A second signal did so at once. Ruled out: new connections and unread requests.

Change: from 3 s after the signal on, requests whose time limit passes after the end are refused at once, not run. Calls that still run at the end are answered, 503 if they reached no engine and 504 if they may have run.

--- a/src/jayvalve/internal/gateway/service.py
+++ b/src/jayvalve/internal/gateway/service.py
@@ -12,6 +12,7 @@
 from jayvalve.errors import (
     DeadlineExceededError,
     DeadlineUnreachableError,
+    DrainingError,
     EndpointFailedError,
     InternalError,
     JayvalveError,
@@ -35,6 +36,7 @@
 from jayvalve.internal.gateway.http_client import BrokenConnectionError
 from jayvalve.internal.gateway.model import RequestInfo, Route, RouteKind, RoutingTable
 from jayvalve.internal.gateway.sender import EngineAnswer, EngineSender
+from jayvalve.internal.gateway.stop_window import CallsEndedError, StopSettings, StopWindow
 from jayvalve.internal.gateway.turns import Turn, TurnStore, UnknownTurnError
 from jayvalve.internal.metrics import Metrics
 from jayvalve.internal.timing import Clock, Deadline
@@ -111,6 +113,7 @@
         self._log_context = log_context
         self._table: RoutingTable | None = None
         self._running = 0
+        self._stop_window = StopWindow(clock, StopSettings())
 
     @property
     def table(self) -> RoutingTable | None:
@@ -130,14 +133,20 @@
         self._log.write("configuration", version=table.version, routes=len(table.routes))
         return True
 
+    def begin_stop(self, seconds: float) -> None:
+        """End all calls within a time, and refuse those that might not be finished by then."""
+        self._stop_window.begin(seconds)
+
     async def handle(self, request: CallerRequest, responder: Responder) -> None:
         """Serve one request and log its outcome; cancelled when the caller disconnects."""
         progress = _Progress()
         self._running += 1
         try:
-            await self._serve(request, responder, progress)
+            await self._stop_window.run(self._serve(request, responder, progress))
         except JayvalveError as error:
             self._answer_error(responder, error, progress)
+        except CallsEndedError as error:
+            self._answer_error(responder, _stopped_error(progress, error), progress)
         except asyncio.CancelledError:
             progress.outcome = "caller left"
             raise
@@ -172,6 +181,7 @@
             deadline=self._deadline(request, info, route),
             body=request.body,
         )
+        self._stop_window.admit(call.deadline)
         if call.deadline.expired:
             raise DeadlineUnreachableError("the time limit has already passed")
         if route.kind is RouteKind.STREAMING:
@@ -390,5 +400,11 @@
         )
 
 
+def _stopped_error(progress: _Progress, error: CallsEndedError) -> JayvalveError:
+    if progress.history.attempts:
+        return DeadlineExceededError(str(error))
+    return DrainingError(str(error), retry_after_s=0.0)
+
+
 def _error_body(error: JayvalveError) -> bytes:
     return json.dumps(error.as_document()).encode()
--- a/src/jayvalve/platform/process.py
+++ b/src/jayvalve/platform/process.py
@@ -61,6 +61,8 @@
 # Shorter than any timeout of a call to the store or to a relay, so that each call that times out
 # closes the idle connections that may be silent as well.
 STORE_SILENCE_S = 0.1
+# Time for the last answers to be written before the connections are closed.
+ANSWER_TIME_S = 0.2
 STDOUT_DESCRIPTOR = 1
 
 
@@ -169,7 +171,10 @@
         """
         self._draining = True
         started_s = self._clock.now()
+        # The rest of the grace time is left for the last writes before SIGKILL.
+        drain_s = self._settings.grace_s * 0.9
         self._log.write("drain", running=self._service.running)
+        self._service.begin_stop(drain_s - ANSWER_TIME_S)
         with contextlib.suppress(UnavailableError):
             await self._register.withdraw(self._settings.instance, 0.5)
         self._fleet_state.coordinators.withdraw()
@@ -180,9 +185,7 @@
         # here. A connection refused here is made to another instance instead; one accepted here
         # could outlast the grace time.
         self._frontend.stop()
-        # The rest of the grace time is left for the last writes before SIGKILL.
-        end_s = started_s + self._settings.grace_s * 0.9
-        while self._clock.now() < end_s:
+        while self._clock.now() < started_s + drain_s:
             self._frontend.close_idle()
             if not self._service.running and not self._frontend.connections:
                 break
@@ -192,7 +195,11 @@
         self._log.write("drained", running=self._service.running)
 
     async def stop(self) -> None:
-        """Stop all components and release their resources."""
+        """Answer the calls that are still running, stop all components and release resources."""
+        self._service.begin_stop(0.0)
+        end_s = self._clock.now() + ANSWER_TIME_S
+        while self._service.running and self._clock.now() < end_s:
+            await asyncio.sleep(0.01)
         await self._stack.aclose()
         self._log.write("stop")
         self._writer.flush()
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -18,7 +18,7 @@
 from jayvalve.standins.platform_store import PlatformStore, PlatformStoreSettings
 from tests.ports import HOST, free_port
 
-__all__ = ["Answer", "Deployment", "MemoryLog", "request"]
+__all__ = ["Answer", "Deployment", "MemoryLog", "read_answer", "request"]
 
 ROUTES = {
     "/chat/": {"type": "streaming", "service": "models", "retained": True, "retention_s": 60.0},
@@ -260,7 +260,7 @@
     reader, writer = await asyncio.open_connection(HOST, port)
     try:
         writer.write(f"{verb} {path} HTTP/1.1\r\n{head}\r\n".encode() + (body or b""))
-        return await _read_answer(reader)
+        return await read_answer(reader)
     finally:
         writer.close()
 
@@ -274,7 +274,8 @@
     return int(float(found.group(1)))
 
 
-async def _read_answer(reader: asyncio.StreamReader) -> Answer:
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
+    """Read one answer; it is not whole if the connection ends early."""
     try:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
     except asyncio.IncompleteReadError:
