Bound the memory for answers of the store and of other gateways

This is the same class as endless streams.

Change: these bodies use the same shared memory as answers of engines, and are at most 4 MiB each. The store sends at most 1 MiB and one record, in base64 in places.

Measured: the new test of test_gateway_endless_answers.py passes; the parameter it needs did not exist before.

--- a/src/jayvalve/internal/gateway/http_client.py
+++ b/src/jayvalve/internal/gateway/http_client.py
@@ -15,6 +15,7 @@
 from tornado.http1connection import HTTP1ConnectionParameters
 from tornado.iostream import IOStream, StreamClosedError
 
+from jayvalve.internal.gateway.buffers import AnswerBuffers
 from jayvalve.internal.gateway.http_exchange import (
     Address,
     BrokenConnectionError,
@@ -85,10 +86,18 @@
 
 
 class HttpPool:
-    """Connections to any number of addresses; the most recently used one is reused first."""
+    """Connections to any number of addresses; the most recently used one is reused first.
 
-    def __init__(self, settings: PoolSettings, clock: Clock) -> None:
+    Args:
+        buffers: Memory for the bodies that are collected whole.
+
+    """
+
+    def __init__(
+        self, settings: PoolSettings, clock: Clock, buffers: AnswerBuffers | None = None
+    ) -> None:
         self._settings = settings
+        self._buffers = buffers if buffers is not None else AnswerBuffers(settings.max_buffer_bytes)
         self._clock = clock
         self._parameters = HTTP1ConnectionParameters(
             max_header_size=settings.max_header_bytes,
@@ -104,6 +113,11 @@
         """Clock of the process."""
         return self._clock
 
+    @property
+    def buffers(self) -> AnswerBuffers:
+        """Memory for the bodies that are collected whole."""
+        return self._buffers
+
     @property
     def opened(self) -> int:
         """Number of connection attempts so far."""
--- a/src/jayvalve/internal/gateway/http_exchange.py
+++ b/src/jayvalve/internal/gateway/http_exchange.py
@@ -16,6 +16,7 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
+from jayvalve.internal.gateway.buffers import AnswerBuffers
 from jayvalve.internal.timing import Clock
 
 __all__ = [
@@ -94,6 +95,10 @@
     def clock(self) -> Clock:
         """Clock of the process."""
 
+    @property
+    def buffers(self) -> AnswerBuffers:
+        """Memory for the bodies that are collected whole."""
+
     def release(self, connection: "Connection", head: ResponseHead) -> None:
         """Keep a connection for reuse after a complete response, or close it."""
 
@@ -222,14 +227,20 @@
         """Return the whole body.
 
         Raises:
-            BrokenConnectionError: As for chunks(), or the body exceeds max_buffer_bytes.
+            BrokenConnectionError: As for chunks(), or the body exceeds max_buffer_bytes, or the
+                bodies in progress hold too much memory.
 
         """
         body = bytearray()
-        async for chunk in self.chunks():
-            body += chunk
-            if len(body) > self._settings.max_buffer_bytes:
-                self._break(f"the body exceeds {self._settings.max_buffer_bytes} bytes")
+        with self._pool.buffers.open() as share:
+            async for chunk in self.chunks():
+                body += chunk
+                if len(body) > self._settings.max_buffer_bytes:
+                    self._break(f"the body exceeds {self._settings.max_buffer_bytes} bytes")
+                elif not share.resize(len(body)):
+                    self._break("the bodies in progress hold too much memory")
+                else:
+                    continue
                 raise BrokenConnectionError(self._describe_break())
         return bytes(body)
 
--- a/src/jayvalve/platform/process.py
+++ b/src/jayvalve/platform/process.py
@@ -61,6 +61,8 @@
 # Shorter than any timeout of a call to the store or to a relay, so that each call that times out
 # closes the idle connections that may be silent as well.
 STORE_SILENCE_S = 0.1
+# The store limits an answer to 1 MiB and one record, and encodes values in base64 in some.
+MAX_STORE_ANSWER_BYTES = 4 * 1024 * 1024
 # Time for the last answers to be written before the connections are closed.
 ANSWER_TIME_S = 0.2
 STDOUT_DESCRIPTOR = 1
@@ -210,7 +212,12 @@
     def _build(self) -> None:
         settings, clock = self._settings, self._clock
         store = settings.store
-        self._store_pool = HttpPool(PoolSettings(silent_after_s=STORE_SILENCE_S), clock)
+        self._buffers = AnswerBuffers.from_memory(settings.memory_mb)
+        self._store_pool = HttpPool(
+            PoolSettings(silent_after_s=STORE_SILENCE_S, max_buffer_bytes=MAX_STORE_ANSWER_BYTES),
+            clock,
+            self._buffers,
+        )
         self._engine_pool = HttpPool(PoolSettings(), clock)
         store_client = StoreClient(store.address, self._store_pool)
         self._register = PeerRegister(store_client)
@@ -273,7 +280,7 @@
             self._metrics,
             self._log,
             self._log_context,
-            AnswerBuffers.from_memory(settings.memory_mb),
+            self._buffers,
         )
         self._frontend = Frontend(self._service.handle, clock, CallerLimits())
         self._status = StatusServer(lambda: self.ready, self._metrics, names.READINESS_PATH)
--- a/tests/cover/test_gateway_endless_answers.py
+++ b/tests/cover/test_gateway_endless_answers.py
@@ -9,6 +9,7 @@
 
 import psutil
 
+from jayvalve.internal.gateway.buffers import AnswerBuffers
 from jayvalve.internal.gateway.events import EventSplitter, EventTooLargeError
 from jayvalve.internal.gateway.http_client import (
     BrokenConnectionError,
@@ -132,6 +133,24 @@
                 self.assertLess(elapsed_s, FLOOD_S / 2)
                 self.assertLess(pause_s, MAX_PAUSE_S)
 
+    def test_collected_bodies_share_a_bounded_memory(self):
+        """Guards against a store or a gateway whose answers without end fill the memory."""
+        buffers = AnswerBuffers(100_000)
+
+        async def run():
+            pool = HttpPool(SETTINGS, Clock(), buffers)
+            request_head = (("Host", "x"),)
+            with flooding_server(HEAD + b"Content-Length: 999999999999\r\n\r\n", b"x") as address:
+                exchange = await pool.send(ClientRequest(address, "GET", "/", request_head))
+                await exchange.head()
+                with self.assertRaises(BrokenConnectionError):
+                    await exchange.body()
+                exchange.abort()
+            pool.close()
+
+        self.run_async(run())
+        self.assertEqual(0, buffers.used_bytes)
+
     def test_tiny_chunks_without_end_do_not_stop_the_event_loop(self):
         """Guards against other calls that wait while the client parses one answer."""
         _, error, pause_s = self.call(
