--- a/src/jayvalve/internal/gateway/http_exchange.py
+++ b/src/jayvalve/internal/gateway/http_exchange.py
@@ -253,7 +253,9 @@
         if not self._complete:
             stream = self._connection.stream
             silent_s = self._pool.clock.now() - self._heard_s
-            if not stream.closed() and silent_s >= self._settings.silent_after_s:
+            # While chunks are queued, it is the reader who is slow.
+            is_waiting = not stream.closed() and self._items.empty()
+            if is_waiting and silent_s >= self._settings.silent_after_s:
                 self._pool.discard_unproven(self._connection.address, self._heard_s)
             stream.close()
             if self._reader is not None:
