Pass on documents that an engine sends on a route of streams

Cause: since streams that end within an event count as broken off, an answer with a length that is no event stream, such as a JSON document, was broken off too. Only event streams, answers without a Content-Type and those without a length or chunks are checked now.

--- a/src/jayvalve/internal/gateway/event_relay.py
+++ b/src/jayvalve/internal/gateway/event_relay.py
@@ -17,6 +17,7 @@
 
 __all__ = ["BrokenStreamError", "EventRelay", "RelayLimits"]
 
+EVENT_STREAM = "text/event-stream"
 # Maximum size of the output of a kept turn, in bytes. The store takes 2 MiB in one call.
 MAX_TURN_BYTES = 1024 * 1024
 # A stream may have this many times the events that its caller allows, and a few more, before its
@@ -103,7 +104,7 @@
             async for chunk in answer.exchange.chunks():
                 await self._write(splitter.feed(chunk))
                 self._check_memory(splitter.held_bytes)
-            await self._write(splitter.finish())
+            await self._finish(splitter, answer)
             if not answer.head.framed and self._events == events_before:
                 # Nothing but the end of the connection would say that the stream is complete.
                 raise TruncatedEventError("the stream ended before its first event")
@@ -112,6 +113,15 @@
         except (BrokenConnectionError, EventTooLargeError, TruncatedEventError) as error:
             raise BrokenStreamError(str(error)) from error
 
+    async def _finish(self, splitter: EventSplitter, answer: EngineAnswer) -> None:
+        try:
+            await self._write(splitter.finish())
+        except TruncatedEventError:
+            # An engine may answer with a document instead, whose end its framing shows.
+            content_type = answer.head.headers.get("Content-Type", EVENT_STREAM)
+            if not answer.head.framed or content_type.lower().startswith(EVENT_STREAM):
+                raise
+
     async def _write(self, events: list[Event]) -> None:
         if not events:
             return
--- a/tests/cover/test_gateway_faulty_engines.py
+++ b/tests/cover/test_gateway_faulty_engines.py
@@ -214,6 +214,20 @@
 
             self.play(work, answer, service="models")
 
+    def test_a_document_on_a_route_of_streams_is_complete(self):
+        """Guards against failing answers that are no event stream but have a length."""
+        for framed, whole in ((True, True), (False, False)):
+
+            def answer(number, attempt, framed=framed):
+                return success(attempt, '{"a": 1}', "application/json", framed), not framed
+
+            async def work(deployment, engines, whole=whole):
+                result = await deployment.call("/advice/1", attempt="a", body=b"x")
+                self.assertEqual(whole, result.whole)
+                self.assertEqual(b'{"a": 1}' if whole else b"", result.body)
+
+            self.play(work, answer, service="models")
+
     def test_a_head_that_ends_early_is_never_a_success(self):
         """Guards against MIXED: a 200 with an empty or short body that looks complete."""
         whole = success("ATTEMPT", "body")
