--- a/src/jayvalve/internal/gateway/http_exchange.py
+++ b/src/jayvalve/internal/gateway/http_exchange.py
@@ -165,6 +165,7 @@
         self._skipped_bytes = 0
         self._cause: str | None = None
         self._complete = False
+        self._aborted = False
         self._items: asyncio.Queue[Any] = asyncio.Queue(_MAX_QUEUED_CHUNKS)
         self._reader: asyncio.Task[None] | None = None
 
@@ -257,9 +258,11 @@
             is_waiting = not stream.closed() and self._items.empty()
             if is_waiting and silent_s >= self._settings.silent_after_s:
                 self._pool.discard_unproven(self._connection.address, self._heard_s)
+            self._aborted = True
+            # Lets a reader that waits for space go on, so that it ends with the connection.
+            while not self._items.empty():
+                self._items.get_nowait()
             stream.close()
-            if self._reader is not None:
-                self._reader.cancel()
 
     def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
         """Handle the head of a response."""
@@ -275,6 +278,8 @@
     async def data_received(self, chunk: bytes) -> None:
         """Queue a part of the body; waits while the queue is full."""
         self._heard_s = self._pool.clock.now()
+        if self._aborted:
+            return
         if not self._skipping:
             await self._items.put(chunk)
             return
@@ -325,7 +330,8 @@
             await self._items.put(_END)
             return
         stream.close()
-        await self._items.put(_BROKEN)
+        if not self._aborted:
+            await self._items.put(_BROKEN)
 
     def _break(self, cause: str) -> None:
         """Close the connection because of what the endpoint sent."""
--- a/tests/cover/test_gateway_http_client.py
+++ b/tests/cover/test_gateway_http_client.py
@@ -181,6 +181,25 @@
 
         self.assertTrue(self.run_async(run()))
 
+    def test_an_abandoned_exchange_leaves_no_task(self):
+        """Guards against readers that wait for ever for a consumer that has left."""
+
+        async def run():
+            server = ScriptedServer(
+                [b"HTTP/1.1 200 OK\r\nContent-Length: 9999999\r\n\r\n", b"x" * 900_000]
+            )
+            async with server.run() as (pool, address):
+                before = asyncio.all_tasks()
+                exchange = await pool.send(ClientRequest(address, "GET", "/", (("Host", "x"),)))
+                await exchange.head()
+                await asyncio.sleep(0.1)
+                exchange.abort()
+                await asyncio.sleep(0.1)
+                left = {str(task.get_coro()) for task in asyncio.all_tasks() - before}
+                self.assertEqual([], [name for name in left if "Exchange" in name])
+
+        self.run_async(run())
+
     def test_an_abandoned_exchange_closes_its_connection(self):
         """Guards against endpoints that keep working for callers that have disconnected."""
 
