Name the framing of each answer in the log of a request

The log of a request did not tell how its engine's answer was framed, so that a stream which ends with its connection looked like one whose last chunk had arrived.

The framing is now decided in one module, internal/http_framing, and each attempt in the log has the field framing.

--- a/src/jayvalve/internal/gateway/calls.py
+++ b/src/jayvalve/internal/gateway/calls.py
@@ -70,6 +70,7 @@
             rate, in seconds; None if it needed none.
         reused: Whether the attempt used a kept-alive connection.
         on_trial: Whether an engine was known to have ended under the call.
+        framing: What marks the end of the engine's answer, or None if no answer arrived.
 
     """
 
@@ -80,6 +81,7 @@
     permit_s: float | None = None
     reused: bool = False
     on_trial: bool = False
+    framing: str | None = None
     outcome: str = "cancelled"
     elapsed_s: float = 0.0
 
@@ -93,6 +95,7 @@
             "permit_ms": None if self.permit_s is None else round(self.permit_s * 1000, 1),
             "reused": self.reused,
             "on_trial": self.on_trial,
+            "framing": self.framing,
             "outcome": self.outcome,
             "ms": round(self.elapsed_s * 1000, 1),
         }
--- a/src/jayvalve/internal/gateway/event_relay.py
+++ b/src/jayvalve/internal/gateway/event_relay.py
@@ -105,7 +105,7 @@
                 await self._write(splitter.feed(chunk))
                 self._check_memory(splitter.held_bytes)
             await self._finish(splitter, answer)
-            if not answer.head.framed and self._events == events_before:
+            if not answer.head.framing.shows_end and self._events == events_before:
                 # Nothing but the end of the connection would say that the stream is complete.
                 raise TruncatedEventError("the stream ended before its first event")
             if splitter.remainder:
@@ -119,7 +119,7 @@
         except TruncatedEventError:
             # An engine may answer with a document instead, whose end its framing shows.
             content_type = answer.head.headers.get("Content-Type", EVENT_STREAM)
-            if not answer.head.framed or content_type.lower().startswith(EVENT_STREAM):
+            if not answer.head.framing.shows_end or content_type.lower().startswith(EVENT_STREAM):
                 raise
 
     async def _write(self, events: list[Event]) -> None:
--- a/src/jayvalve/internal/gateway/http_client.py
+++ b/src/jayvalve/internal/gateway/http_client.py
@@ -255,6 +255,6 @@
         # An endpoint may respond before it has read a long body. It would then interpret the next
         # request as the rest of that body.
         and not stream.writing()
-        and head.framed
+        and head.framing.shows_end
         and head.headers.get("Connection", "").lower() != "close"
     )
--- a/src/jayvalve/internal/gateway/http_exchange.py
+++ b/src/jayvalve/internal/gateway/http_exchange.py
@@ -17,6 +17,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from jayvalve.internal.gateway.buffers import AnswerBuffers
+from jayvalve.internal.http_framing import Framing, received_framing
 from jayvalve.internal.timing import Clock
 
 __all__ = [
@@ -67,16 +68,12 @@
 
 @attrs.frozen
 class ResponseHead:
-    """Status line and headers of a response."""
+    """Status line and headers of a response, and what marks its end."""
 
     status: int
     reason: str
     headers: HTTPHeaders
-
-    @property
-    def framed(self) -> bool:
-        """Whether the body has a length or chunks; otherwise it ends with its connection."""
-        return "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
+    framing: Framing
 
 
 class ExchangeLimits(Protocol):
@@ -159,6 +156,7 @@
         self._reused = reused
         # Time of the request, then of the last bytes of its answer.
         self._heard_s = pool.clock.now()
+        self._method = ""
         self._head: ResponseHead | None = None
         self._skipping = False
         self._skipped_count = 0
@@ -181,6 +179,7 @@
 
     def start(self, request: ClientRequest) -> None:
         """Write the request and start reading the response."""
+        self._method = request.method
         headers = HTTPHeaders()
         for name, value in request.headers:
             headers.add(name, value)
@@ -269,7 +268,8 @@
         self._heard_s = self._pool.clock.now()
         if not isinstance(start_line, ResponseStartLine) or start_line.code < 200:
             return
-        head = ResponseHead(start_line.code, start_line.reason, headers)
+        framing = received_framing(self._method, start_line.code, headers)
+        head = ResponseHead(start_line.code, start_line.reason, headers, framing)
         self._skipping = self._accepts is not None and not self._accepts(head)
         if not self._skipping:
             self._head = head
--- a/src/jayvalve/internal/gateway/sender.py
+++ b/src/jayvalve/internal/gateway/sender.py
@@ -269,6 +269,7 @@
             attempt.reused = exchange.reused
             async with asyncio.timeout(self._head_timeout_s(call, view, history)):
                 head = await exchange.head()
+            attempt.framing = str(head.framing)
             if exchange.reused and not self._codec.names_attempt(head.headers):
                 # It may be a late copy of an answer to an earlier request on this connection, and
                 # the engine may be running this one.
--- /dev/null
+++ b/src/jayvalve/internal/http_framing.py
@@ -0,0 +1,93 @@
+"""How the end of an HTTP/1.x answer is marked, as received and as sent."""
+
+import enum
+import socket
+import struct
+from collections.abc import Mapping
+
+from loguru import logger
+from tornado.iostream import IOStream
+
+__all__ = ["Framing", "received_framing", "reset_connection", "sent_framing"]
+
+_log = logger.bind(part="http_framing")
+
+# SO_LINGER with a time of zero: close() discards unsent bytes and sends a reset.
+_LINGER_RESET = struct.pack("ii", 1, 0)
+
+
+class Framing(enum.StrEnum):
+    """What marks the end of an answer (RFC 9112, section 6.3)."""
+
+    NO_BODY = "no body"
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+    @property
+    def shows_end(self) -> bool:
+        """Whether an answer that was cut short can be told from a whole one.
+
+        An answer that ends with its connection looks the same in both cases, unless the connection
+        is reset.
+        """
+        return self is not Framing.CONNECTION
+
+
+def _has_no_body(method: str, status: int) -> bool:
+    return method == "HEAD" or status < 200 or status in (204, 304)
+
+
+def received_framing(method: str, status: int, headers: Mapping[str, str]) -> Framing:
+    """Return the framing of an answer that was received.
+
+    Args:
+        method: Method of the request.
+        status: Status of the answer.
+        headers: Headers of the answer, whose names ignore case.
+
+    """
+    if _has_no_body(method, status):
+        return Framing.NO_BODY
+    if "Transfer-Encoding" in headers:
+        return Framing.CHUNKS
+    if "Content-Length" in headers:
+        return Framing.LENGTH
+    return Framing.CONNECTION
+
+
+def sent_framing(
+    version: str, method: str, status: int, has_length: bool, end_is_known: bool
+) -> Framing:
+    """Return the framing for an answer to a caller.
+
+    Args:
+        version: HTTP version of the request, such as "HTTP/1.1".
+        method: Method of the request.
+        status: Status of the answer.
+        has_length: Whether the answer has a Content-Length.
+        end_is_known: Whether the source of the answer shows where it ends. If not, the caller is
+            told no more than that.
+
+    """
+    if _has_no_body(method, status):
+        return Framing.NO_BODY
+    if not end_is_known:
+        return Framing.CONNECTION
+    if has_length:
+        return Framing.LENGTH
+    # Callers of HTTP/1.0 do not know chunks.
+    return Framing.CHUNKS if version == "HTTP/1.1" else Framing.CONNECTION
+
+
+def reset_connection(stream: IOStream) -> None:
+    """Close a connection with a reset, so that what was sent does not look complete.
+
+    Bytes that were not sent yet are lost.
+    """
+    if stream.socket is not None:
+        try:
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+        except OSError as error:
+            _log.bind(error=repr(error)).info("a connection cannot be reset")
+    stream.close()
