Frame answers to callers of HTTP/1.0 so that broken ones show

What callers saw: with HTTP/1.0, an answer that broke off ended with an orderly close, which is how a whole one ends there, so it looked complete. A stream announced chunks and had none, a caller that asked to keep its connection waited for an end that never came, and an Expect header was answered with a 100, which HTTP/1.0 does not have.

Cause: each part decided on the framing by itself: headers by the route's code, chunks by the library, the end of a broken answer by closing. None of them knew that such a caller has only the end of its connection.

Change: http_framing decides on the framing from the caller's version. An answer that ends with its connection says Connection: close, is closed in order when it is whole and reset when it is not. Chunks and lengths are still ended by an orderly close without the rest, which loses nothing that was relayed before.

--- a/src/jayvalve/internal/gateway/calls.py
+++ b/src/jayvalve/internal/gateway/calls.py
@@ -175,7 +175,7 @@
         """End the answer as complete."""
 
     def abort(self) -> None:
-        """Close the connection, so that the answer does not look complete."""
+        """Break the answer off, so that it does not look complete."""
 
 
 def reason_phrase(status: int) -> str:
--- a/src/jayvalve/internal/gateway/frontend.py
+++ b/src/jayvalve/internal/gateway/frontend.py
@@ -19,6 +19,7 @@
 
 from jayvalve.internal.gateway.calls import CallerRequest
 from jayvalve.internal.gateway.model import CallerLimits
+from jayvalve.internal.http_framing import Framing, reset_connection, sent_framing
 from jayvalve.internal.timing import Clock
 
 __all__ = ["Frontend", "HttpResponder"]
@@ -31,19 +32,29 @@
 
 
 class HttpResponder:
-    """Answers one request on its connection."""
+    """Answers one request on its connection, in a framing that its caller understands.
 
-    def __init__(self, connection: HTTP1Connection, frontend: "Frontend") -> None:
+    Args:
+        connection: Connection of the request.
+        frontend: Owner of the connection.
+        line: Request line, whose method and version decide on the framing.
+
+    """
+
+    def __init__(
+        self, connection: HTTP1Connection, frontend: "Frontend", line: RequestStartLine
+    ) -> None:
         self._connection = connection
         self._frontend = frontend
-        self._started = False
+        self._line = line
+        self._framing: Framing | None = None
         self._finished = False
-        self._announced_close = False
+        self._closes = False
 
     @property
     def started(self) -> bool:
         """Whether the head of the answer was sent."""
-        return self._started
+        return self._framing is not None
 
     @property
     def finished(self) -> bool:
@@ -52,12 +63,18 @@
 
     def start(self, status: int, reason: str, headers: HTTPHeaders) -> None:
         """Send the head of the answer."""
-        self._started = True
-        self._announced_close = self._frontend.closing
-        if self._announced_close:
+        self._framing = sent_framing(
+            self._line.version, self._line.method, status, "Content-Length" in headers
+        )
+        ends_with_connection = self._framing is Framing.CONNECTION
+        self._closes = self._frontend.closing or ends_with_connection
+        if self._closes:
             headers["Connection"] = "close"
-        line = ResponseStartLine("HTTP/1.1", status, reason)
-        self._connection.write_headers(line, headers)
+        if ends_with_connection:
+            # write_headers() would choose chunks, or keep the connection of an HTTP/1.0 caller.
+            self._connection.write(_encode_head(status, reason, headers))
+        else:
+            self._connection.write_headers(ResponseStartLine("HTTP/1.1", status, reason), headers)
 
     async def write(self, chunk: bytes) -> None:
         """Send a part of the body and wait until it is written to the connection."""
@@ -77,15 +94,31 @@
         self._connection.finish()
         # The connection is closed only if the answer announced it with "Connection: close".
         # Otherwise the caller may already be sending its next request.
-        if self._announced_close:
+        if self._closes:
             self._frontend.close_when_sent(self._connection)
 
     def abort(self) -> None:
-        """Close the connection, so that the answer does not look complete."""
+        """Close the connection, so that the answer does not look complete.
+
+        Where nothing but the end of the connection ends the answer, the connection is reset.
+        Otherwise it is closed in order, which loses nothing that was sent.
+        """
         self._finished = True
+        if self._framing is Framing.CONNECTION and self._connection.stream is not None:
+            reset_connection(self._connection.stream)
         self._connection.close()
 
 
+def _encode_head(status: int, reason: str, headers: HTTPHeaders) -> bytes:
+    lines = [
+        f"HTTP/1.1 {status} {reason}",
+        *(f"{name}: {value}" for name, value in headers.get_all()),
+    ]
+    if any("\r" in line or "\n" in line for line in lines):
+        raise ValueError(f"a line of the head contains a line end: {lines!r:.200}")
+    return "\r\n".join([*lines, "", ""]).encode("latin1")
+
+
 class _Message(HTTPMessageDelegate):
     """Receives one request."""
 
@@ -101,6 +134,9 @@
         """Store the request line and the headers."""
         self._line = start_line
         self._headers = headers
+        if start_line.version == "HTTP/1.0":
+            # The library would answer it with an informational response, which HTTP/1.0 lacks.
+            headers.pop("Expect", None)
         # The connection is busy from now on, although the body may not have arrived yet.
         self._frontend.mark_busy(self._connection)
         self._received_s = self._frontend.clock.now()
@@ -115,7 +151,7 @@
         request = CallerRequest(
             line.method, line.path, self._headers, bytes(self._body), self._received_s
         )
-        self._frontend.serve(request, self._connection)
+        self._frontend.serve(request, self._connection, line)
 
     def on_connection_close(self) -> None:
         """Drop a request that did not arrive completely."""
@@ -189,14 +225,14 @@
         """Remove a closed connection."""
         self._connections.discard(server_conn)
 
-    def serve(self, request: CallerRequest, connection: Any) -> None:
+    def serve(self, request: CallerRequest, connection: Any, line: RequestStartLine) -> None:
         """Start a task that serves a request."""
         if connection.stream is None or connection.stream.closed():
             # tornado delivers a request that it has read even after the connection was closed.
             # The caller no longer waits for an answer.
             self.mark_idle(connection)
             return
-        responder = HttpResponder(connection, self)
+        responder = HttpResponder(connection, self, line)
         task = asyncio.ensure_future(self._run(request, responder, connection))
         self._tasks.add(task)
 
@@ -258,4 +294,4 @@
             await self._handler(request, responder)
         finally:
             if not responder.finished:
-                connection.close()
+                responder.abort()
--- a/src/jayvalve/internal/http_framing.py
+++ b/src/jayvalve/internal/http_framing.py
@@ -56,9 +56,7 @@
     return Framing.CONNECTION
 
 
-def sent_framing(
-    version: str, method: str, status: int, has_length: bool, end_is_known: bool
-) -> Framing:
+def sent_framing(version: str, method: str, status: int, has_length: bool) -> Framing:
     """Return the framing for an answer to a caller.
 
     Args:
@@ -66,14 +64,10 @@
         method: Method of the request.
         status: Status of the answer.
         has_length: Whether the answer has a Content-Length.
-        end_is_known: Whether the source of the answer shows where it ends. If not, the caller is
-            told no more than that.
 
     """
     if _has_no_body(method, status):
         return Framing.NO_BODY
-    if not end_is_known:
-        return Framing.CONNECTION
     if has_length:
         return Framing.LENGTH
     # Callers of HTTP/1.0 do not know chunks.
