Send no body with answers to HEAD, and keep the length they name

What callers saw: an error for a HEAD request closed the connection, as its body was refused by the library; an engine's answer to HEAD came with a length of 0 instead of its own, one with status 204 with a length.

Cause: the length was always that of the relayed body, and errors were written with their body.

Change: an answer without a body keeps the engine's length, if it names one, and the responder drops the body.

--- a/src/jayvalve/internal/gateway/frontend.py
+++ b/src/jayvalve/internal/gateway/frontend.py
@@ -78,6 +78,8 @@
 
     async def write(self, chunk: bytes) -> None:
         """Send a part of the body and wait until it is written to the connection."""
+        if self._framing is Framing.NO_BODY:
+            return
         try:
             await self._connection.write(chunk)
         except StreamClosedError:
@@ -86,7 +88,8 @@
 
     def write_nowait(self, chunk: bytes) -> None:
         """Send a short part of the body without waiting."""
-        self._connection.write(chunk)
+        if self._framing is not Framing.NO_BODY:
+            self._connection.write(chunk)
 
     def finish(self) -> None:
         """End the answer as complete."""
--- a/src/jayvalve/internal/gateway/service.py
+++ b/src/jayvalve/internal/gateway/service.py
@@ -38,6 +38,7 @@
 from jayvalve.internal.gateway.sender import EngineAnswer, EngineSender
 from jayvalve.internal.gateway.stop_window import CallsEndedError, StopSettings, StopWindow
 from jayvalve.internal.gateway.turns import Turn, TurnStore, UnknownTurnError
+from jayvalve.internal.http_framing import Framing
 from jayvalve.internal.metrics import Metrics
 from jayvalve.internal.timing import Clock, Deadline
 
@@ -231,6 +232,7 @@
     async def _relay(self, answer: EngineAnswer, responder: Responder) -> None:
         """Relay an answer; one that fits into the buffers is sent only when it is complete."""
         head = answer.head
+        headers = self._codec.response_headers(head.headers)
         buffer = bytearray()
         with self._buffers.open() as share:
             async for chunk in answer.exchange.chunks():
@@ -239,15 +241,16 @@
                     continue
                 buffer += chunk
                 if len(buffer) > MAX_BUFFERED_BYTES or not share.resize(len(buffer)):
-                    responder.start(
-                        head.status, head.reason, self._codec.response_headers(head.headers)
-                    )
+                    responder.start(head.status, head.reason, headers)
                     await responder.write(bytes(buffer))
                     buffer.clear()
                     share.resize(0)
         if not responder.started:
-            headers = self._codec.response_headers(head.headers)
-            headers["Content-Length"] = str(len(buffer))
+            if head.framing is not Framing.NO_BODY:
+                headers["Content-Length"] = str(len(buffer))
+            elif "Content-Length" in head.headers:
+                # It describes the body that the answer stands for.
+                headers["Content-Length"] = head.headers["Content-Length"]
             responder.start(head.status, head.reason, headers)
             if buffer:
                 await responder.write(bytes(buffer))
--- a/tests/cover/test_gateway_answer_framing.py
+++ b/tests/cover/test_gateway_answer_framing.py
@@ -1,6 +1,7 @@
 """Callers can tell a broken answer from a whole one, whatever version of HTTP they speak."""
 
 import asyncio
+import re
 
 import attrs
 
@@ -139,3 +140,30 @@
             extra="Expect: 100-continue\r\n",
         )
         self.assertEqual((200, DOCUMENT.encode()), (answer.status, answer.body))
+
+    def test_answers_without_a_body_keep_their_framing(self):
+        """Guards against bytes after an answer without a body, and against a wrong length."""
+        head = with_length(DOCUMENT).partition(b"\r\n\r\n")[0] + b"\r\n\r\n"
+        empty = re.sub(rb"Content-Length: \d+\r\n", b"", head)
+        for version in ("1.0", "1.1"):
+            answer = self.answer("/status/1", head, version, "HEAD")
+            self.assertEqual(str(len(DOCUMENT)), answer.headers["content-length"])
+            answer = self.answer("/status/1", empty.replace(b"200 OK", b"204 Empty"), version)
+            self.assertEqual((204, b""), (answer.status, answer.body))
+            self.assertNotIn("content-length", answer.headers)
+            self.assertNotIn("transfer-encoding", answer.headers)
+
+    def test_an_error_for_a_head_request_has_no_body(self):
+        """Guards against a connection that is closed because an error has a body."""
+
+        async def run():
+            async with Deployment.run(models=0, tools=0) as deployment:
+                reader, writer = await asyncio.open_connection(HOST, deployment.ports[0])
+                request = b"HEAD /nowhere/ HTTP/1.1\r\nHost: shop.example\r\n\r\n"
+                for _ in range(2):
+                    writer.write(request)
+                    answer = await asyncio.wait_for(read_raw(reader, "HEAD"), 5.0)
+                    self.assertEqual(404, answer.status)
+                writer.close()
+
+        self.run_async(run())
