Break off answers without a length whose engine has ended

What callers saw: a stream without a length whose engine was killed between two events, or a plain answer without a length that a kill cut short, came with a last chunk or a Content-Length, so it was framed as complete and was not. A turn was kept so.

Cause: the kernel closes the connections of a killed process in order. The end of the connection was taken for the end of the answer wherever it did not fall within an event.

Change: after such an answer the gateway opens a connection to the engine. One that refuses it has ended, so the answer is broken off, resumed or retried like any other. The connection is kept for the next request, which needs a new one anyway, as the answer's own has ended. An engine that is known to leave is not checked: it may end after its last answer.

Measured: the test with killed engines fails on the code before and passes now; answers of live and of leaving engines are whole on both.

--- a/src/jayvalve/internal/gateway/sender.py
+++ b/src/jayvalve/internal/gateway/sender.py
@@ -192,6 +192,24 @@
                 answer.trial = trial
                 return answer
 
+    async def confirm_end(self, answer: EngineAnswer) -> None:
+        """Check the engine of an answer that has ended with nothing but its connection.
+
+        The kernel closes the connections of a killed process in order, so that such an answer looks
+        whole. The process listens no more, however. An engine that is known to leave may end right
+        after its last answer and is not checked.
+
+        Raises:
+            BrokenConnectionError: The engine has ended and may have cut the answer.
+
+        """
+        if answer.head.framing.shows_end or not self._directory.accepts(answer.view):
+            return
+        if await self._pool.refuses_connections(answer.view.record.address):
+            raise BrokenConnectionError(
+                f"the answer of {answer.view.key.id} has no length, and the engine has ended"
+            )
+
     def close(self, answer: EngineAnswer, received: bool) -> None:
         """Finish an answer: release the engine's load and record the result.
 
--- a/src/jayvalve/internal/gateway/service.py
+++ b/src/jayvalve/internal/gateway/service.py
@@ -245,6 +245,7 @@
                     await responder.write(bytes(buffer))
                     buffer.clear()
                     share.resize(0)
+        await self._sender.confirm_end(answer)
         if not responder.started:
             if head.framing is not Framing.NO_BODY:
                 headers["Content-Length"] = str(len(buffer))
@@ -318,13 +319,14 @@
                         headers = self._codec.response_headers(answer.head.headers)
                         responder.start(answer.head.status, answer.head.reason, headers)
                     await relay.run(answer)
+                    await self._sender.confirm_end(answer)
                     received = True
                     if call.route.retained:
                         await self._save_turn(call, relay.output)
                     responder.finish()
                     progress.status, progress.outcome = answer.head.status, "answered"
                     return
-            except BrokenStreamError as error:
+            except (BrokenStreamError, BrokenConnectionError) as error:
                 self._sender.record_broken(answer)
                 resumptions += 1
                 if not call.route.resumable or resumptions > MAX_RESUMPTIONS:
--- a/tests/cover/test_gateway_answer_framing.py
+++ b/tests/cover/test_gateway_answer_framing.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from tests.cover.test_gateway_faulty_engines import ScriptedEngine, success
+from tests.cover.test_gateway_faulty_engines import KILL, ScriptedEngine, success
 from tests.platform_support import Deployment
 from tests.ports import HOST
 from tests.support import AsyncTestCase
@@ -94,18 +94,15 @@
 
 
 class AnswerFramingTests(AsyncTestCase):
-    def answer(self, path, data, version="1.1", method="GET", extra="", calls=None):
+    def answer(self, path, data, version="1.1", method="GET", extra="", closes=True):
         """Return what a caller receives when the engine answers with data and closes."""
 
         async def run():
             async with Deployment.run(models=0, tools=0) as deployment:
                 service = "tools" if path.startswith(("/status", "/charge")) else "models"
-                engine = ScriptedEngine(lambda number, attempt: (data, True))
+                engine = ScriptedEngine(lambda number, attempt: (data, closes))
                 async with engine.run(deployment, "engine", service):
-                    result = await call_raw(deployment.ports[0], path, version, method, extra)
-                    if calls is not None:
-                        calls.extend(engine.requests)
-                    return result
+                    return await call_raw(deployment.ports[0], path, version, method, extra)
 
         return self.run_async(run())
 
@@ -167,3 +164,37 @@
                 writer.close()
 
         self.run_async(run())
+
+    def test_an_answer_without_a_length_of_a_killed_engine_is_broken_off(self):
+        """Guards against ORDER and MIXED: a kill between two events, or within a document."""
+        for path, text, content_type in (
+            ("/chat/1", EVENTS, "text/event-stream"),
+            ("/advice/1", EVENTS, "text/event-stream"),
+            ("/charge/1", DOCUMENT, "application/json"),
+            ("/charge/1", "x" * 1_500_000, "text/plain"),
+        ):
+            data = success("a", text, content_type, framed=False)
+            for version in ("1.0", "1.1"):
+                with self.subTest(f"{path} {version}"):
+                    answer = self.answer(path, data, version, closes=KILL)
+                    self.assertFalse(answer.status == 200 and answer.looks_whole, answer)
+
+    def test_an_answer_without_a_length_of_a_live_engine_is_whole(self):
+        """Guards against failing answers that end with their connection."""
+        for path, text, content_type in (
+            ("/chat/1", EVENTS, "text/event-stream"),
+            ("/charge/1", DOCUMENT, "application/json"),
+            ("/charge/1", "x" * 1_500_000, "text/plain"),
+        ):
+            data = success("a", text, content_type, framed=False)
+            for version in ("1.0", "1.1"):
+                answer = self.answer(path, data, version)
+                self.assertTrue(answer.status == 200 and answer.looks_whole, answer.end)
+                self.assertEqual(text.encode(), answer.body)
+
+    def test_the_last_answer_of_an_engine_that_leaves_is_whole(self):
+        """Guards against breaking off answers because their engine ended as it had announced."""
+        data = success("a", DOCUMENT, framed=False)
+        data = data.replace(b"\r\n\r\n", b"\r\nServer-Leaving: 1\r\n\r\n", 1)
+        answer = self.answer("/charge/1", data, closes=KILL)
+        self.assertEqual((200, DOCUMENT.encode()), (answer.status, answer.body))
--- a/tests/cover/test_gateway_faulty_engines.py
+++ b/tests/cover/test_gateway_faulty_engines.py
@@ -13,12 +13,15 @@
 NOT_RUN = "HTTP/1.1 503 Service Unavailable\r\nX-Jayvalve-Not-Executed: 1\r\nContent-Length: 4\r\n"
 
 
+KILL = "kill"
+
+
 class ScriptedEngine:
     """An engine that answers each request with the bytes that a function returns.
 
     Args:
         answer: Called with the number of the request, from 0, and its id. Returns the bytes to
-            write, and whether the connection is closed after them.
+            write, and whether the connection is closed after them; KILL ends the engine instead.
 
     """
 
@@ -27,12 +30,13 @@
         self.requests = []
         self.bodies = []
         self._writers = set()
+        self._server = None
 
     @contextlib.asynccontextmanager
     async def run(self, deployment, name, service):
         """Listen and write an entry to the store, until the context ends."""
         port = free_port()
-        server = await asyncio.start_server(self._serve, HOST, port)
+        self._server = await asyncio.start_server(self._serve, HOST, port)
         entry = {"service": service, "address": f"{HOST}:{port}", "zone": "zone-a"}
         entry |= {"version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0}
         deployment.store.put("keyed.servers", name, {**entry, "sequence": 1, "born": 1})
@@ -42,9 +46,13 @@
         try:
             yield self
         finally:
-            server.close()
-            for writer in self._writers:
-                writer.close()
+            self._kill()
+
+    def _kill(self):
+        """Close all sockets in order, as the kernel does for a killed process."""
+        self._server.close()
+        for writer in self._writers:
+            writer.close()
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
@@ -59,6 +67,8 @@
                 data, closes = self.answer(len(self.requests) - 1, attempt)
                 writer.write(data)
                 await writer.drain()
+                if closes == KILL:
+                    self._kill()
                 if closes:
                     break
         writer.close()
