Break off streams whose event ids do not increase

What callers saw: if an engine ignored Last-Event-Id, a resumed stream brought the same events again and ended as complete; so did one that a caller resumed. After more events than allowed in one read, none of them was relayed, but the stream was resumed after the last of them.

Cause: the relay remembered the last id and never compared it; it counted all events of a read before it wrote any.

The events before a faulty one are relayed, so that a resumption continues after what the caller has.

--- a/src/jayvalve/internal/gateway/event_relay.py
+++ b/src/jayvalve/internal/gateway/event_relay.py
@@ -8,16 +8,19 @@
 from jayvalve.internal.gateway.calls import Call, Responder
 from jayvalve.internal.gateway.events import (
     Event,
+    EventOrderError,
     EventSplitter,
     EventTooLargeError,
     TruncatedEventError,
+    check_order,
 )
 from jayvalve.internal.gateway.http_client import BrokenConnectionError
 from jayvalve.internal.gateway.sender import EngineAnswer
 
-__all__ = ["BrokenStreamError", "EventRelay", "RelayLimits"]
+__all__ = ["LAST_EVENT_ID", "BrokenStreamError", "EventRelay", "RelayLimits"]
 
 EVENT_STREAM = "text/event-stream"
+LAST_EVENT_ID = "Last-Event-Id"
 # Maximum size of the output of a kept turn, in bytes. The store takes 2 MiB in one call.
 MAX_TURN_BYTES = 1024 * 1024
 # A stream may have this many times the events that its caller allows, and a few more, before its
@@ -60,21 +63,29 @@
 
     Args:
         share: Memory for an event that is not complete yet and for the output of a kept turn.
+        last_id: Id of the event after which the caller resumes the stream, or None.
 
     """
 
-    def __init__(self, responder: Responder, share: BufferShare, limits: RelayLimits) -> None:
+    def __init__(
+        self,
+        responder: Responder,
+        share: BufferShare,
+        limits: RelayLimits,
+        last_id: str | None = None,
+    ) -> None:
         self._responder = responder
         self._share = share
         self._limits = limits
         self._output = bytearray()
-        self._last_id: str | None = None
+        self._last_id = last_id
         self._events = 0
 
     @classmethod
     def from_call(cls, call: Call, responder: Responder, share: BufferShare) -> Self:
         """Create the relay of a call."""
-        return cls(responder, share, RelayLimits.from_call(call))
+        last_id = call.request.headers.get(LAST_EVENT_ID) if call.route.resumable else None
+        return cls(responder, share, RelayLimits.from_call(call), last_id)
 
     @property
     def events(self) -> int:
@@ -83,7 +94,7 @@
 
     @property
     def last_id(self) -> str | None:
-        """Id of the last event that was relayed and has one."""
+        """Id of the last event with one that the caller has, from this stream or before it."""
         return self._last_id
 
     @property
@@ -110,7 +121,12 @@
                 raise TruncatedEventError("the stream ended before its first event")
             if splitter.remainder:
                 await self._responder.write(splitter.remainder)
-        except (BrokenConnectionError, EventTooLargeError, TruncatedEventError) as error:
+        except (
+            BrokenConnectionError,
+            EventOrderError,
+            EventTooLargeError,
+            TruncatedEventError,
+        ) as error:
             raise BrokenStreamError(str(error)) from error
 
     async def _finish(self, splitter: EventSplitter, answer: EngineAnswer) -> None:
@@ -125,16 +141,32 @@
     async def _write(self, events: list[Event]) -> None:
         if not events:
             return
+        accepted: list[Event] = []
+        error: EventTooLargeError | EventOrderError | None = None
         for event in events:
-            if event.data is not None:
-                self._events += 1
-                if self._limits.retained:
-                    self._output += event.data + b"\n"
-            if event.id is not None:
-                self._last_id = event.id
-        if self._limits.max_events is not None and self._events > self._limits.max_events:
-            raise EventTooLargeError(f"the stream has over {self._limits.max_events} events")
-        await self._responder.write(b"".join(event.raw for event in events))
+            try:
+                self._accept(event)
+            except (EventTooLargeError, EventOrderError) as caught:
+                error = caught
+                break
+            accepted.append(event)
+        # A resumption continues after the last accepted event, so the caller must get all of them.
+        if accepted:
+            await self._responder.write(b"".join(event.raw for event in accepted))
+        if error is not None:
+            raise error
+
+    def _accept(self, event: Event) -> None:
+        """Count an event and keep what a turn or a resumption needs of it."""
+        check_order(self._last_id, event.id)
+        if event.data is not None:
+            if self._events == self._limits.max_events:
+                raise EventTooLargeError(f"the stream has over {self._limits.max_events} events")
+            self._events += 1
+            if self._limits.retained:
+                self._output += event.data + b"\n"
+        if event.id is not None:
+            self._last_id = event.id
 
     def _check_memory(self, incomplete_bytes: int) -> None:
         if len(self._output) > self._limits.max_turn_bytes:
--- a/src/jayvalve/internal/gateway/events.py
+++ b/src/jayvalve/internal/gateway/events.py
@@ -4,7 +4,14 @@
 
 import attrs
 
-__all__ = ["Event", "EventSplitter", "EventTooLargeError", "TruncatedEventError"]
+__all__ = [
+    "Event",
+    "EventOrderError",
+    "EventSplitter",
+    "EventTooLargeError",
+    "TruncatedEventError",
+    "check_order",
+]
 
 # Models produce a few hundred bytes per event.
 MAX_EVENT_BYTES = 1024 * 1024
@@ -23,6 +30,8 @@
 _LAST_EVENT_END = _event_end(rb"(?:\r\n|\n|\r)")
 # Where a search continues: before the longest sequence that may have been incomplete.
 _OVERLAP = 4
+# Ids are compared as numbers up to this length.
+_WHOLE_NUMBER = re.compile(r"[0-9]{1,18}")
 _COMMENT_LINES = re.compile(rb"(?::[^\r\n]*(?:\r\n|\n|\r))*")
 
 
@@ -50,6 +59,26 @@
     """A stream ended within an event."""
 
 
+class EventOrderError(Exception):
+    """The id of an event does not follow that of an earlier one."""
+
+
+def check_order(last_id: str | None, next_id: str | None) -> None:
+    """Check that whole numbers as ids increase; numbers may be left out, and other ids pass.
+
+    An engine that ignores where a stream is to be resumed sends events that its caller has.
+
+    Raises:
+        EventOrderError: The second number is not above the first.
+
+    """
+    if last_id is None or next_id is None:
+        return
+    are_numbers = _WHOLE_NUMBER.fullmatch(last_id) and _WHOLE_NUMBER.fullmatch(next_id)
+    if are_numbers and int(next_id) <= int(last_id):
+        raise EventOrderError(f"the event {next_id} follows the event {last_id}")
+
+
 class EventSplitter:
     """Collects bytes and returns the events that they complete.
 
--- a/src/jayvalve/internal/gateway/service.py
+++ b/src/jayvalve/internal/gateway/service.py
@@ -32,7 +32,7 @@
     reason_phrase,
 )
 from jayvalve.internal.gateway.decisions import DecisionLog
-from jayvalve.internal.gateway.event_relay import BrokenStreamError, EventRelay
+from jayvalve.internal.gateway.event_relay import LAST_EVENT_ID, BrokenStreamError, EventRelay
 from jayvalve.internal.gateway.http_client import BrokenConnectionError
 from jayvalve.internal.gateway.model import RequestInfo, Route, RouteKind, RoutingTable
 from jayvalve.internal.gateway.sender import EngineAnswer, EngineSender
@@ -44,7 +44,6 @@
 
 __all__ = ["GatewayService"]
 
-LAST_EVENT_ID = "Last-Event-Id"
 # A plain answer up to this size is buffered until it is complete, so that the call can be retried
 # if the answer breaks off.
 MAX_BUFFERED_BYTES = 1024 * 1024
--- a/tests/cover/test_gateway_faulty_engines.py
+++ b/tests/cover/test_gateway_faulty_engines.py
@@ -172,6 +172,46 @@
 
             self.play(work, fail, service="models")
 
+    def check_resumed(self, first, second, headers=None):
+        """Return what a caller gets if the first engine breaks off and the second one goes on."""
+
+        def answer(number, attempt):
+            if number % 2 == 0:
+                return success(attempt, first + "id: ", "text/event-stream", framed=False), True
+            return success(attempt, second, "text/event-stream"), False
+
+        async def work(deployment, engines):
+            return await deployment.call("/advice/1", attempt="a", body=b"x", headers=headers)
+
+        return self.play(work, answer, service="models")
+
+    def test_an_engine_that_repeats_events_does_not_look_complete(self):
+        """Guards against ORDER: pieces that come twice after a resumption."""
+        events = [f"id: {number}\ndata: part {number}\n\n" for number in range(5)]
+        answer = self.check_resumed(events[1] + events[2], "".join(events[1:4]))
+        self.assertEqual(1, answer.body.count(b"part 1"))
+        self.assertFalse(answer.whole)
+        answer = self.check_resumed(events[1] + events[2], events[3] + events[4])
+        self.assertTrue(answer.whole)
+        self.assertEqual("".join(events[1:]).encode(), answer.body)
+        headers = {"Last-Event-Id": "2"}
+        answer = self.check_resumed(events[1], events[3], headers)
+        self.assertEqual((events[3].encode(), True), (answer.body, answer.whole))
+
+    def test_ids_that_leave_out_numbers_are_in_order(self):
+        """Guards against breaking off streams whose ids increase by more than one."""
+        stream = "id: 1\ndata: a\n\nid: 3\ndata: b\n\nid: end\ndata: c\n\nid: 2\ndata: d\n\n"
+        answer = self.check_resumed("id: 0\ndata: z\n\n", stream)
+        self.assertTrue(answer.whole)
+
+    def test_events_before_one_too_many_are_relayed_before_a_resumption(self):
+        """Guards against ORDER: a resumption after events that the caller never got."""
+        events = [f"id: {number}\ndata: part {number}\n\n" for number in range(14)]
+        # One token gives a limit of two events and the margin of eight.
+        headers = {"X-Jayvalve-Token-Usage": "1,1"}
+        answer = self.check_resumed("".join(events[1:13]), events[11], headers)
+        self.assertEqual("".join(events[1:11]).encode(), answer.body)
+
     def check_cut_streams(self, path, streams):
         """Check streams that their engine ends by closing the connection.
 
