--- a/src/jayvalve/internal/gateway/event_relay.py
+++ b/src/jayvalve/internal/gateway/event_relay.py
@@ -4,9 +4,7 @@
 
 import attrs
 
-from jayvalve.internal.gateway.buffers import BufferShare
-from jayvalve.internal.gateway.calls import Call, Responder
-from jayvalve.internal.gateway.events import (
+from jayvalve.internal.event_stream import (
     Event,
     EventOrderError,
     EventSplitter,
@@ -14,6 +12,8 @@
     TruncatedEventError,
     check_order,
 )
+from jayvalve.internal.gateway.buffers import BufferShare
+from jayvalve.internal.gateway.calls import Call, Responder
 from jayvalve.internal.gateway.http_client import BrokenConnectionError
 from jayvalve.internal.gateway.sender import EngineAnswer
 
--- a/tests/cover/test_gateway_decisions.py
+++ b/tests/cover/test_gateway_decisions.py
@@ -6,10 +6,10 @@
 import random
 
 from jayvalve.errors import LogUnavailableError
+from jayvalve.internal.event_stream import EventSplitter
 from jayvalve.internal.gateway.decisions import DecisionLog, LogLimits, LogWriter
 from jayvalve.internal.gateway.departures import Departures, DepartureSettings
 from jayvalve.internal.gateway.directory import DirectorySettings, EngineDirectory
-from jayvalve.internal.gateway.events import EventSplitter
 from jayvalve.internal.gateway.follower import FollowerSettings, KeyedFollower
 from jayvalve.internal.gateway.loads import PeerLoads, PeerSettings
 from jayvalve.internal.gateway.model import EngineKey, EngineRecord, EngineState
--- a/tests/cover/test_gateway_endless_answers.py
+++ b/tests/cover/test_gateway_endless_answers.py
@@ -9,8 +9,8 @@
 
 import psutil
 
+from jayvalve.internal.event_stream import EventSplitter, EventTooLargeError
 from jayvalve.internal.gateway.buffers import AnswerBuffers
-from jayvalve.internal.gateway.events import EventSplitter, EventTooLargeError
 from jayvalve.internal.gateway.http_client import (
     BrokenConnectionError,
     ClientRequest,
--- a/tests/cover/test_gateway_malformed.py
+++ b/tests/cover/test_gateway_malformed.py
@@ -11,7 +11,7 @@
 from testtools import TestCase
 
 from jayvalve.errors import InvalidHeaderError, InvalidSettingsError
-from jayvalve.internal.gateway.events import EventSplitter
+from jayvalve.internal.event_stream import EventSplitter
 from jayvalve.internal.gateway.follower import FollowerSettings, KeyedFollower
 from jayvalve.internal.gateway.health import HealthSettings, HealthTracker
 from jayvalve.internal.gateway.loads import PeerLoads, PeerSettings
