Require the last event of a model's stream at the entry

What callers saw: a stream of a model that ended between two events, without its [DONE] event, was completed, and its turn was kept.

Cause: the entry refused only an end within an event. A model API's stream is whole only with its last event, which no part compared.

Change: the entry splits streams as the gateway does and breaks a stream off that ends without [DONE], also one of a recovered attempt. It takes all line ends of the format, and [DONE] counts only as the data of an event.

Measured: both new tests of test_execution fail on the code before and pass now.

--- a/src/jayvalve/internal/entry/answers.py
+++ b/src/jayvalve/internal/entry/answers.py
@@ -6,22 +6,26 @@
 
 import attrs
 
-__all__ = ["AnswerSummary", "EventSplitter", "summarize", "without_usage_event"]
+from jayvalve.internal.event_stream import Event, EventSplitter, TruncatedEventError
+
+__all__ = ["AnswerSummary", "StreamEvents", "summarize", "without_usage_event"]
 
 EVENT_END = b"\n\n"
-DONE_EVENT = b"data: [DONE]"
+DONE = b"[DONE]"
+# Sidecars limit the whole answer to this size.
+MAX_EVENT_BYTES = 32 * 1024 * 1024
 EMPTY_CHOICES = (b'"choices": []', b'"choices":[]')
 
 
-class EventSplitter:
-    """Splits a stream of server-sent events into complete events and withholds the last one.
+class StreamEvents:
+    """Splits the stream of a model into complete events and withholds the last one.
 
     The ``[DONE]`` event tells the caller that the answer is complete, so it may be sent only
     after the turn has been replicated.
     """
 
     def __init__(self) -> None:
-        self._pending = b""
+        self._splitter = EventSplitter(MAX_EVENT_BYTES)
         self._done = b""
 
     @property
@@ -29,24 +33,35 @@
         """The withheld ``[DONE]`` event; empty until it has arrived."""
         return self._done
 
-    @property
-    def incomplete(self) -> bool:
-        """Whether bytes of an unfinished event are pending."""
-        return bool(self._pending)
-
     def feed(self, data: bytes) -> bytes:
-        """Return the complete events that may be forwarded now."""
-        text = self._pending + data
-        cut = text.rfind(EVENT_END)
-        if cut < 0:
-            self._pending = text
-            return b""
-        ready, self._pending = text[: cut + len(EVENT_END)], text[cut + len(EVENT_END) :]
-        start = ready.find(DONE_EVENT)
-        if start < 0 or (start > 0 and ready[start - 1 : start] != b"\n"):
-            return ready
-        self._done += ready[start:]
-        return ready[:start]
+        """Return the complete events that may be forwarded now.
+
+        Raises:
+            EventTooLargeError: An event exceeds a limit.
+
+        """
+        return self._withhold_done(self._splitter.feed(data))
+
+    def finish(self) -> bytes:
+        """Return the events that are complete because the stream has ended.
+
+        Raises:
+            TruncatedEventError: The stream ended within an event, or without its last one.
+
+        """
+        ready = self._withhold_done(self._splitter.finish())
+        if not self._done:
+            raise TruncatedEventError("the stream ended without its [DONE] event")
+        return ready
+
+    def _withhold_done(self, events: list[Event]) -> bytes:
+        ready = bytearray()
+        for event in events:
+            if self._done or event.data == DONE:
+                self._done += event.raw
+            else:
+                ready += event.raw
+        return bytes(ready)
 
 
 def without_usage_event(data: bytes) -> bytes:
--- a/src/jayvalve/internal/entry/execution.py
+++ b/src/jayvalve/internal/entry/execution.py
@@ -16,7 +16,7 @@
     LogUnavailableError,
     MayHaveRunError,
 )
-from jayvalve.internal.entry.answers import EventSplitter, summarize
+from jayvalve.internal.entry.answers import StreamEvents, summarize
 from jayvalve.internal.entry.call_body import CallBody, request_digest
 from jayvalve.internal.entry.call_stream import CallStream
 from jayvalve.internal.entry.dispatch import AttemptDispatcher
@@ -24,6 +24,7 @@
 from jayvalve.internal.entry.journal import Answer, Journal
 from jayvalve.internal.entry.key_claims import ClaimGrant, KeyClaims
 from jayvalve.internal.entry.request import CallRequest
+from jayvalve.internal.event_stream import EventTooLargeError, TruncatedEventError
 from jayvalve.internal.hashing import digest, partition
 from jayvalve.internal.limits import RetryPolicy
 from jayvalve.internal.membership import Member
@@ -308,7 +309,20 @@
 
         The target is None for a recovered attempt.
         """
-        splitter = EventSplitter()
+        try:
+            return await self._forward(target, attempt_id, parts, amount, grant)
+        except (EventTooLargeError, TruncatedEventError) as error:
+            raise EndpointFailedError(f"the stream broke off: {error}") from error
+
+    async def _forward(
+        self,
+        target: Target | None,
+        attempt_id: str,
+        parts: AsyncIterator[Any],
+        amount: Amount,
+        grant: ClaimGrant | None,
+    ) -> Answer:
+        events = StreamEvents()
         head = ResponseHead(200, {})
         body: list[bytes] = []
         sent_chunks = 0
@@ -320,29 +334,29 @@
             elif isinstance(part, Chunk):
                 body.append(part.data)
                 if self._call.stream and head.status == 200:
-                    sent_chunks += self._send_events(splitter, part.data, sent_chunks)
+                    sent_chunks += self._send_events(events.feed(part.data), sent_chunks)
             elif target is not None:
                 self._context.directory.observe_load(target.view.name, part.load)
-        if splitter.incomplete:
-            raise EndpointFailedError("the stream ended in the middle of an event")
+        if self._call.stream and head.status == 200:
+            sent_chunks += self._send_events(events.finish(), sent_chunks)
         raw_body = b"".join(body)
         answer = Answer(head.status, head.headers, self._body.visible(raw_body))
         await self._end_turn(attempt_id, answer, amount, grant, raw_body)
-        self._send_rest(answer, splitter, sent_chunks)
+        self._send_rest(answer, events, sent_chunks)
         return answer
 
-    def _send_events(self, splitter: EventSplitter, data: bytes, sent_chunks: int) -> int:
-        """Send the complete events, if any, as one chunk and return the number of chunks sent."""
-        ready = self._body.visible(splitter.feed(data))
+    def _send_events(self, events: bytes, sent_chunks: int) -> int:
+        """Send complete events, if any, as one chunk and return the number of chunks sent."""
+        ready = self._body.visible(events)
         if not ready:
             return 0
         self._stream.send(Chunk(sent_chunks, ready))
         return 1
 
-    def _send_rest(self, answer: Answer, splitter: EventSplitter, sent_chunks: int) -> None:
+    def _send_rest(self, answer: Answer, events: StreamEvents, sent_chunks: int) -> None:
         rest = answer.body
         if self._stream.started:
-            rest = splitter.done_event
+            rest = events.done_event
         else:
             self._stream.send(ResponseHead(answer.status, answer.headers))
         if rest:
@@ -397,7 +411,7 @@
         head = self._caller_head(ResponseHead(status, headers))
         answer = Answer(status, head.headers, body)
         await self._replicate_turn(attempt_id, Amount(), answer, None)
-        self._send_rest(answer, EventSplitter(), 0)
+        self._send_rest(answer, StreamEvents(), 0)
         return answer
 
     async def _record_failure(
--- a/tests/cover/test_execution.py
+++ b/tests/cover/test_execution.py
@@ -48,6 +48,27 @@
         )
         self.assertEqual(Verdict.MAY_HAVE_RUN, error.verdict)
 
+    def test_a_stream_without_its_last_event_is_not_complete(self):
+        """Guards against a cut stream that is kept as a turn, also when it is recovered."""
+        for end in (b"", b"data: [DONE]", b"data: [DONE]\n", b": [DONE]\n\n"):
+            execution = self.build(EphemeralJournal())
+            parts = ResponseHead(200, {}), Chunk(0, b'data: {"choices": []}\n\n' + end)
+            error = self.assertRaises(
+                EndpointFailedError,
+                lambda parts=parts, execution=execution: self.run_async(
+                    self.consume(execution, *parts)
+                ),
+            )
+            self.assertEqual(Verdict.MAY_HAVE_RUN, error.verdict)
+
+    def test_the_last_event_may_end_with_any_line_end(self):
+        """Guards against failing streams of engines with other line ends."""
+        for end in (b"\n\n", b"\r\n\r\n", b"\r\r", b"\n\n\n"):
+            execution = self.build(EphemeralJournal())
+            parts = ResponseHead(200, {}), Chunk(0, b"data: {}" + end + b"data: [DONE]" + end)
+            answer = self.run_async(self.consume(execution, *parts))
+            self.assertEqual(200, answer.status)
+
     def test_a_turn_without_quorum_is_not_reported_as_not_run(self):
         """Guards against reporting not_run for a call that ran but was not recorded (check P6)."""
         execution = self.build(JournalWithoutQuorum())
