Check at the sidecar that a model's completion is whole

What callers saw: a completion without a length that its engine cut was stored by the sidecar as a finished attempt and passed on as whole: a stream between two events, or a part of a JSON document.

Cause: the sidecar relied on HTTP alone, in which the end of a killed engine's connection ends such an answer.

Change: the adapter of model engines requires the [DONE] event of a stream and, where there is no length, valid JSON of a document. The attempt fails otherwise, so that it is neither copied nor recovered as a whole one.

Measured: the new test of test_engines fails on the code before and passes now.

--- a/src/jayvalve/internal/engines/openai.py
+++ b/src/jayvalve/internal/engines/openai.py
@@ -2,12 +2,14 @@
 
 import contextlib
 import json
+from collections.abc import AsyncIterator
 from http import HTTPStatus
 from typing import Any
 
 import attrs
 
 from jayvalve.errors import EndpointFailedError, InvalidRequestError, StaleTermError
+from jayvalve.internal.engines.completeness import CompletenessCheck, check_for
 from jayvalve.internal.engines.http import HttpAdapter
 from jayvalve.internal.engines.messages import (
     CacheEvent,
@@ -51,6 +53,26 @@
             headers[PROGRAM_HEADER] = request.program
         return attrs.evolve(request, headers=headers, body=json.dumps(body).encode())
 
+    async def run(self, request: EngineRequest) -> AsyncIterator[EngineHead | bytes]:
+        """Run an attempt as HttpAdapter.run does, and check that a completion is whole.
+
+        Raises:
+            EndpointFailedError: The completion ended early; verdict may_have_run.
+
+        HttpAdapter.run documents the other errors.
+        """
+        check: CompletenessCheck | None = None
+        async with contextlib.aclosing(super().run(request)) as parts:
+            async for part in parts:
+                if isinstance(part, EngineHead):
+                    is_completion = request.path.partition("?")[0] == CHAT_PATH
+                    check = check_for(part) if is_completion else None
+                elif check is not None:
+                    check.receive(part)
+                yield part
+        if check is not None:
+            check.finish()
+
     async def load(self) -> EngineLoad:
         """Return the load that the engine reports."""
         fields = await self._control_request_json("GET", "/load")
--- a/src/jayvalve/internal/entry/execution.py
+++ b/src/jayvalve/internal/entry/execution.py
@@ -16,7 +16,7 @@
     LogUnavailableError,
     MayHaveRunError,
 )
-from jayvalve.internal.entry.answers import StreamEvents, summarize
+from jayvalve.internal.entry.answers import summarize
 from jayvalve.internal.entry.call_body import CallBody, request_digest
 from jayvalve.internal.entry.call_stream import CallStream
 from jayvalve.internal.entry.dispatch import AttemptDispatcher
@@ -29,6 +29,7 @@
 from jayvalve.internal.limits import RetryPolicy
 from jayvalve.internal.membership import Member
 from jayvalve.internal.metrics import Metrics
+from jayvalve.internal.model_stream import ModelStream
 from jayvalve.internal.operator.observer import CallObserver
 from jayvalve.internal.programs import Amount, Intent, Term
 from jayvalve.internal.routing import Capability, RoutingCall
@@ -322,7 +323,7 @@
         amount: Amount,
         grant: ClaimGrant | None,
     ) -> Answer:
-        events = StreamEvents()
+        events = ModelStream()
         head = ResponseHead(200, {})
         body: list[bytes] = []
         sent_chunks = 0
@@ -353,7 +354,7 @@
         self._stream.send(Chunk(sent_chunks, ready))
         return 1
 
-    def _send_rest(self, answer: Answer, events: StreamEvents, sent_chunks: int) -> None:
+    def _send_rest(self, answer: Answer, events: ModelStream, sent_chunks: int) -> None:
         rest = answer.body
         if self._stream.started:
             rest = events.done_event
@@ -411,7 +412,7 @@
         head = self._caller_head(ResponseHead(status, headers))
         answer = Answer(status, head.headers, body)
         await self._replicate_turn(attempt_id, Amount(), answer, None)
-        self._send_rest(answer, StreamEvents(), 0)
+        self._send_rest(answer, ModelStream(), 0)
         return answer
 
     async def _record_failure(
--- a/tests/cover/test_engines.py
+++ b/tests/cover/test_engines.py
@@ -71,7 +71,7 @@
 
 
 @contextlib.asynccontextmanager
-async def bare_server(answer):
+async def bare_server(answer, adapter_kind="http"):
     """Run a server that reads one request per connection, sends the answer, and closes."""
     requests = []
 
@@ -84,7 +84,7 @@
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     try:
-        async with ENGINE_ADAPTERS.get("http").from_config(
+        async with ENGINE_ADAPTERS.get(adapter_kind).from_config(
             {"address": f"127.0.0.1:{port}", "max_clients": 4}
         ) as adapter:
             yield requests, adapter
@@ -237,6 +237,33 @@
 
         self.run_async(body())
 
+    def test_a_completion_that_ends_early_with_its_connection_is_a_failure(self):
+        """Guards against a cut answer without a length that is kept as a whole one."""
+        stream = b"Content-Type: text/event-stream\r\n\r\ndata: {}\n\n"
+        document = b'Content-Type: application/json\r\n\r\n{"choices": []}'
+        cases = (
+            (stream, False),
+            (stream + b"data: [DONE]", False),
+            (stream + b"data: [DONE]\n\n", True),
+            (stream.replace(b"\n\n", b"\r\r") + b"data: [DONE]\r\r", True),
+            (document[:-1], False),
+            (document, True),
+        )
+
+        async def run(answer):
+            async with bare_server(b"HTTP/1.1 200 OK\r\n" + answer, "openai") as (_, adapter):
+                return await collect(adapter, chat())
+
+        for answer, whole in cases:
+            with self.subTest(answer):
+                if whole:
+                    self.assertEqual(200, self.run_async(run(answer))[0].status)
+                else:
+                    error = self.assertRaises(
+                        EndpointFailedError, lambda answer=answer: self.run_async(run(answer))
+                    )
+                    self.assertEqual(Verdict.MAY_HAVE_RUN, error.verdict)
+
     def test_cache_and_load(self):
         """Guards against control requests that do not match the engine's protocol."""
 
