Fail answers without a length whose endpoint has ended, at the sidecar

The same fault as at the gateway: a plain answer without a length that a kill cut short was stored and passed on as whole. The adapter now opens a connection to the endpoint after such an answer; one that refuses it has ended, and the call may have run.

Measured: the new test of test_engines fails on the code before and passes now.

--- a/src/jayvalve/internal/engines/http.py
+++ b/src/jayvalve/internal/engines/http.py
@@ -1,12 +1,14 @@
 """Adapter for plain HTTP services, and base class of the other adapters."""
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Mapping
 from typing import Any, Self
 
 import attrs
+from loguru import logger
 
-from jayvalve.errors import InvalidRequestError, InvalidSettingsError
+from jayvalve.errors import EndpointFailedError, InvalidRequestError, InvalidSettingsError
 from jayvalve.internal.engines.messages import (
     CachePage,
     EngineHead,
@@ -15,9 +17,12 @@
 )
 from jayvalve.internal.engines.registry import ENGINE_ADAPTERS
 from jayvalve.internal.engines.transfer import CurlTransferClient, Transfer
+from jayvalve.internal.http_framing import Framing
 
 __all__ = ["AdapterSettings", "HttpAdapter"]
 
+_log = logger.bind(part="engines")
+
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
@@ -96,6 +101,8 @@
 
         Raises:
             InvalidRequestError: the attempt is already running, or the request cannot be sent.
+            EndpointFailedError: the answer has no length, and the endpoint has ended, so that it
+                may have cut the answer; verdict may_have_run.
 
         Transfer.run documents the other errors.
         """
@@ -107,6 +114,8 @@
             async with contextlib.aclosing(transfer.run()) as parts:
                 async for part in parts:
                     yield part
+            if transfer.framing is Framing.CONNECTION and await self._refuses_connections():
+                raise EndpointFailedError("the answer has no length, and the endpoint has ended")
         finally:
             del self._transfers[request.attempt_id]
 
@@ -146,6 +155,20 @@
         """Raise InvalidRequestError, since a plain service accepts no orders."""
         raise InvalidRequestError(f"a plain service does not support order {action!r}")
 
+    async def _refuses_connections(self) -> bool:
+        """Return whether no process listens at the address of the endpoint."""
+        host, _, port = self._settings.address.rpartition(":")
+        try:
+            async with asyncio.timeout(self._settings.connect_timeout_s):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError) as error:
+            _log.info("cannot tell whether {} listens: {!r}", self._settings.address, error)
+            return False
+        writer.close()
+        return False
+
     def _create_transfer(self, request: EngineRequest) -> Transfer:
         if self._client is None:
             raise RuntimeError("the adapter is not open; use it with 'async with'")
--- a/src/jayvalve/internal/engines/transfer.py
+++ b/src/jayvalve/internal/engines/transfer.py
@@ -22,6 +22,7 @@
     end_to_end_headers,
 )
 from jayvalve.internal.http_client import CurlClient
+from jayvalve.internal.http_framing import Framing, received_framing
 from jayvalve.verdict import Verdict
 
 __all__ = ["CurlTransferClient", "Transfer"]
@@ -90,6 +91,7 @@
         connect_timeout_s: Timeout for establishing the connection, in seconds.
         sent: Whether bytes of the request may have reached the endpoint.
         aborted: Whether the transfer was aborted.
+        framing: What marks the end of the answer; None before its head.
 
     """
 
@@ -99,6 +101,7 @@
     connect_timeout_s: float
     sent: bool = False
     aborted: bool = False
+    framing: Framing | None = None
     _parts: asyncio.Queue[Any] = attrs.field(factory=asyncio.Queue)
     _header_lines: list[str] = attrs.field(factory=list)
     _has_head: bool = False
@@ -208,5 +211,6 @@
             name, _, value = line.partition(":")
             name, value = name.strip(), value.strip()
             headers[name] = f"{headers[name]}, {value}" if name in headers else value
+        self.framing = received_framing(self.request.method, status, HTTPHeaders(headers))
         headers = end_to_end_headers(headers)
         self._parts.put_nowait(EngineHead(status, headers))
--- a/tests/cover/test_engines.py
+++ b/tests/cover/test_engines.py
@@ -71,14 +71,19 @@
 
 
 @contextlib.asynccontextmanager
-async def bare_server(answer, adapter_kind="http"):
-    """Run a server that reads one request per connection, sends the answer, and closes."""
+async def bare_server(answer, adapter_kind="http", ends=False):
+    """Run a server that reads one request per connection, sends the answer, and closes.
+
+    If it ends, it stops listening before it closes the connection, as a killed process does.
+    """
     requests = []
 
     async def serve(reader, writer):
         requests.append(await reader.readuntil(b"\r\n\r\n"))
         writer.write(answer)
         await writer.drain()
+        if ends:
+            server.close()
         writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
@@ -390,6 +395,21 @@
 
         self.run_async(body())
 
+    def test_an_answer_without_a_length_of_a_killed_endpoint_is_a_failure(self):
+        """Guards against a cut answer that looks whole, as the kernel closes its connection."""
+
+        async def body(ends):
+            answer = b"HTTP/1.1 200 OK\r\n\r\nabc"
+            async with bare_server(answer, ends=ends) as (_, adapter):
+                if ends:
+                    error = await collect_error(adapter, booking())
+                    self.assertEqual(Verdict.MAY_HAVE_RUN, error.verdict)
+                else:
+                    self.assertEqual([b"abc"], (await collect(adapter, booking()))[1])
+
+        self.run_async(body(ends=False))
+        self.run_async(body(ends=True))
+
     def test_headers_and_error_status_are_passed_through(self):
         """Guards against forwarded hop-by-hop headers, and exceptions for error statuses."""
 
