End streams of entries to callers of HTTP/1.0 with their connection

What callers saw: a caller of HTTP/1.0 that asked to keep its connection waited for the end of a stream for ever; a plain answer that broke off ended in order, as a whole one does there.

Cause: the library keeps such a connection although the answer has neither a length nor chunks.

Change: the entry announces no kept connection to these callers and closes it after the answer; one that breaks off is reset.

The reset has no test of its own.

--- a/src/jayvalve/internal/entry/http.py
+++ b/src/jayvalve/internal/entry/http.py
@@ -13,6 +13,7 @@
 from jayvalve.errors import InternalError, InvalidRequestError, JayvalveError
 from jayvalve.internal.entry.authentication import TokenTable
 from jayvalve.internal.entry.request import HEADER_NAMES
+from jayvalve.internal.http_framing import reset_connection
 from jayvalve.internal.wire.messages import Chunk, Completed, Forward, ResponseHead
 
 __all__ = ["CallerHandler", "ErrorHandler", "Serve"]
@@ -72,6 +73,12 @@
         self._serve = serve
         self._answer_task: asyncio.Task[None] | None = None
 
+    def prepare(self) -> None:
+        """Announce no kept connection to a caller of HTTP/1.0."""
+        if self.request.version == "HTTP/1.0":
+            # The library would keep the connection after an answer that ends with it.
+            self.request.headers.pop("Connection", None)
+
     def on_connection_close(self) -> None:
         """Stop reading the answer, since its caller has disconnected."""
         if self._answer_task is not None:
@@ -113,6 +120,8 @@
                     written = True
                 else:
                     await self.finish()
+                    if self.request.version == "HTTP/1.0":
+                        self.request.connection.stream.close()  # type: ignore[union-attr]
                     return
         except StreamClosedError:
             return
@@ -135,4 +144,4 @@
             self.write(b"data: " + json.dumps(error.as_document()).encode() + b"\n\n")
             self.finish()
         elif self.request.connection is not None:
-            self.request.connection.stream.close()  # type: ignore[attr-defined]
+            reset_connection(self.request.connection.stream)  # type: ignore[attr-defined]
--- a/tests/cover/test_local.py
+++ b/tests/cover/test_local.py
@@ -53,6 +53,25 @@
             await asyncio.sleep(0.05)
         return state
 
+    def test_a_stream_to_a_caller_of_http_1_0_ends_with_its_connection(self):
+        """Guards against a caller that waits for the end of a connection that is kept."""
+
+        async def scenario(deployment):
+            host, _, port = deployment.urls[0].removeprefix("http://").partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            body = json.dumps(chat_body("x", stream=True))
+            writer.write(
+                f"POST {CHAT} HTTP/1.0\r\nConnection: keep-alive\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
+            )
+            answer = await asyncio.wait_for(reader.read(), 20.0)
+            writer.close()
+            return answer
+
+        head, _, body = self.with_deployment(scenario).partition(b"\r\n\r\n")
+        self.assertNotIn(b"chunked", head)
+        self.assertTrue(body.endswith(b"data: [DONE]\n\n"), body)
+
     def test_openai_client_streams_and_lists_models(self):
         """Guards the protocol that an unmodified openai client expects."""
 
