Break off answers of entries that end with an unexpected error

What callers saw: an answer whose serving failed unexpectedly after its first part, or ended without its completion, was framed as complete.

Cause: the web library ends an answer whose head was sent in order, whatever the error. Only the project's own errors were handled before.

Change: every error after the first part breaks the answer off: a stream with an error event, any other by closing its connection, with a reset where only the connection ends the answer.

--- a/src/jayvalve/internal/entry/http.py
+++ b/src/jayvalve/internal/entry/http.py
@@ -10,7 +10,12 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import RequestHandler
 
-from jayvalve.errors import InternalError, InvalidRequestError, JayvalveError
+from jayvalve.errors import (
+    EndpointFailedError,
+    InternalError,
+    InvalidRequestError,
+    JayvalveError,
+)
 from jayvalve.internal.entry.authentication import TokenTable
 from jayvalve.internal.entry.request import HEADER_NAMES
 from jayvalve.internal.http_framing import reset_connection
@@ -123,12 +128,19 @@
                     if self.request.version == "HTTP/1.0":
                         self.request.connection.stream.close()  # type: ignore[union-attr]
                     return
+            raise EndpointFailedError("the answer ended without its completion")
         except StreamClosedError:
             return
         except JayvalveError as error:
             if not written:
                 raise
             self._abort_answer(error)
+        except Exception as error:
+            if not written:
+                raise
+            # The library would end the answer as if it were complete.
+            self.log_exception(type(error), error, error.__traceback__)
+            self._abort_answer(InternalError(f"unexpected {type(error).__name__}"))
 
     def _write_head(self, head: ResponseHead) -> None:
         self.set_status(head.status)
@@ -144,4 +156,7 @@
             self.write(b"data: " + json.dumps(error.as_document()).encode() + b"\n\n")
             self.finish()
         elif self.request.connection is not None:
-            reset_connection(self.request.connection.stream)  # type: ignore[attr-defined]
+            stream = self.request.connection.stream  # type: ignore[attr-defined]
+            if self.request.version == "HTTP/1.0":
+                reset_connection(stream)
+            stream.close()
