Do not take one CRLF for the blank line that ends an event

What callers saw: a stream whose lines end with CRLF and whose engine cut it after any line of an event ended as complete, and a kept turn was stored without the rest; likewise one that was cut between the two bytes of its last CRLF.

Cause: at the end of a stream a carriage return alone counts as a line end, so that the search for a blank line took CRLF for two line ends. The tests cut streams with line feeds only.

Change: a carriage return before a line feed is no line end of its own, and a stream with CRLF that ends with a carriage return is cut.

Measured: the test fails before and passes now.

--- a/src/jayvalve/internal/event_stream.py
+++ b/src/jayvalve/internal/event_stream.py
@@ -27,7 +27,7 @@
 
 # A carriage return at the end of the buffer may be the first half of a line end.
 _EVENT_END = _event_end(rb"(?:\r\n|\n|\r(?=[^\n]))")
-_LAST_EVENT_END = _event_end(rb"(?:\r\n|\n|\r)")
+_LAST_EVENT_END = _event_end(rb"(?:\r\n|\n|\r(?!\n))")
 # Where a search continues: before the longest sequence that may have been incomplete.
 _OVERLAP = 4
 # Ids are compared as numbers up to this length.
@@ -93,6 +93,7 @@
         self._buffer = bytearray()
         self._searched = 0
         self._bytes_without_data = 0
+        self._uses_crlf = False
 
     @property
     def remainder(self) -> bytes:
@@ -127,6 +128,8 @@
             EventTooLargeError: As for feed().
 
         """
+        if self._buffer.endswith(b"\r") and (self._uses_crlf or b"\r\n" in self._buffer):
+            raise TruncatedEventError("the stream ended within a line end")
         events = self._take_events(_LAST_EVENT_END)
         if _COMMENT_LINES.fullmatch(self._buffer) is None:
             raise TruncatedEventError(
@@ -148,6 +151,7 @@
     def _parse(self, raw: bytes) -> Event:
         if raw.count(b"\n") + raw.count(b"\r") > MAX_EVENT_LINES and raw.strip(b"\r\n"):
             raise EventTooLargeError(f"an event exceeds {MAX_EVENT_LINES} lines")
+        self._uses_crlf = self._uses_crlf or b"\r\n" in raw
         event_id: str | None = None
         data: list[bytes] = []
         for line in raw.strip(b"\r\n").splitlines():
--- a/tests/cover/test_gateway_faulty_engines.py
+++ b/tests/cover/test_gateway_faulty_engines.py
@@ -236,10 +236,11 @@
     def test_a_stream_that_ends_within_an_event_is_broken_off(self):
         """Guards against ORDER: a stream that its engine cut and that looks complete."""
         whole = "id: 1\ndata: part 1\n\nid: 2\ndata: part 2\n\n"
-        first = whole.index("id: 2")
-        cut_streams = [whole[:end] for end in range(first + 1, len(whole))]
-        for path in ("/chat/1", "/advice/1"):
-            self.check_cut_streams(path, cut_streams)
+        for stream in (whole, whole.replace("\n", "\r\n"), whole.replace("\n", "\r")):
+            first = stream.index("id: 2")
+            cut_streams = [stream[:end] for end in range(first + 1, len(stream))]
+            for path in ("/chat/1", "/advice/1"):
+                self.check_cut_streams(path, cut_streams)
 
     def test_a_stream_without_length_or_events_is_broken_off(self):
         """Guards against ORDER: an engine that ends before its first event."""
