Bound the connections that checks of an address keep

A check whether an engine still listens kept its connection whatever the number of idle ones. Answers without a length now lead to such checks, so the limit on idle connections holds for them as well.

Measured: the new test fails on the code before (35 kept, 32 allowed) and passes now.

--- a/src/jayvalve/internal/gateway/http_client.py
+++ b/src/jayvalve/internal/gateway/http_client.py
@@ -165,7 +165,10 @@
         except NotSentError as error:
             cause = error.__cause__
             return isinstance(getattr(cause, "real_error", cause), ConnectionRefusedError)
-        self._keep(connection, self._settings.idle_timeout_s)
+        if len(self._idle.get(address, [])) < self._settings.max_idle:
+            self._keep(connection, self._settings.idle_timeout_s)
+        else:
+            connection.stream.close()
         return False
 
     def discard(self, address: Address) -> None:
--- a/tests/cover/test_gateway_http_client.py
+++ b/tests/cover/test_gateway_http_client.py
@@ -211,3 +211,13 @@
 
         server = ScriptedServer([5.0])
         self.assertEqual([0], self.run_calls(server, abandon))
+
+    def test_checks_of_an_address_keep_no_more_connections_than_allowed(self):
+        """Guards against idle connections that use up what an endpoint accepts."""
+
+        async def check(pool, address):
+            for _ in range(PoolSettings().max_idle + 3):
+                self.assertFalse(await pool.refuses_connections(address))
+            return pool.idle
+
+        self.assertEqual([PoolSettings().max_idle], self.run_calls(ScriptedServer(), check))
