Pass on no success without the signature of an engine

What callers saw: a 2xx that bore no signature was passed on, also in a resumed stream (rule MIXED).

Cause: HeaderCodec.is_signed() was called nowhere.

Change: such an answer counts as broken where the head of each attempt is checked, so that plain answers, streams and resumptions follow one rule. The engine may have run the call, so it is repeated only where that is allowed.

--- a/src/jayvalve/internal/gateway/sender.py
+++ b/src/jayvalve/internal/gateway/sender.py
@@ -292,6 +292,11 @@
                 # It may be a late copy of an answer to an earlier request on this connection, and
                 # the engine may be running this one.
                 raise BrokenConnectionError("an answer on a kept connection names no request")
+            if head.status < HTTPStatus.MULTIPLE_CHOICES and not self._codec.is_signed(
+                head.headers
+            ):
+                # Such bytes are not the engine's answer, and the engine may have run the call.
+                raise BrokenConnectionError(f"a success of {view.key.id} bears no signature")
             self._learn_state(view, head)
             if self._codec.says_not_run(head.status, head.headers):
                 attempt.outcome = f"refused {head.status}"
--- a/tests/cover/test_gateway_faulty_engines.py
+++ b/tests/cover/test_gateway_faulty_engines.py
@@ -212,6 +212,39 @@
         answer = self.check_resumed("".join(events[1:13]), events[11], headers)
         self.assertEqual("".join(events[1:11]).encode(), answer.body)
 
+    def test_a_success_without_a_signature_is_not_passed_on(self):
+        """Guards against MIXED: a success that does not come from the engine."""
+
+        def answer(number, attempt):
+            content_type = "text/event-stream" if attempt.startswith("stream") else "text/plain"
+            whole = success(attempt, "data: a\n\n", content_type)
+            return whole.replace(b"X-Jayvalve-Server-Signature: s\r\n", b""), False
+
+        def resume(number, attempt):
+            if number == 0:
+                return success(attempt, "id: 1\ndata: a\n\n:", "text/event-stream", False), True
+            return answer(number, attempt)
+
+        async def work(deployment, engines):
+            for path in ("/chat/1", "/advice/1"):
+                result = await deployment.call(path, attempt=f"stream{path}", body=b"x")
+                self.assertEqual(502, result.status)
+
+        async def work_resumed(deployment, engines):
+            result = await deployment.call("/advice/1", attempt="stream", body=b"x")
+            self.assertFalse(result.whole)
+
+        async def work_plain(deployment, engines):
+            for path in ("/charge/1", "/status/1"):
+                result = await deployment.call(path, attempt=path, body=b"x")
+                self.assertEqual(502, result.status)
+            # The idempotent call goes to a second engine, the other one does not.
+            self.assertEqual(3, sum(len(engine.requests) for engine in engines))
+
+        self.play(work, answer, service="models")
+        self.play(work_resumed, resume, service="models")
+        self.play(work_plain, answer, answer)
+
     def check_cut_streams(self, path, streams):
         """Check streams that their engine ends by closing the connection.
 
