--- a/src/jayvalve/internal/gateway/sender.py
+++ b/src/jayvalve/internal/gateway/sender.py
@@ -288,15 +288,7 @@
             async with asyncio.timeout(self._head_timeout_s(call, view, history)):
                 head = await exchange.head()
             attempt.framing = str(head.framing)
-            if exchange.reused and not self._codec.names_attempt(head.headers):
-                # It may be a late copy of an answer to an earlier request on this connection, and
-                # the engine may be running this one.
-                raise BrokenConnectionError("an answer on a kept connection names no request")
-            if head.status < HTTPStatus.MULTIPLE_CHOICES and not self._codec.is_signed(
-                head.headers
-            ):
-                # Such bytes are not the engine's answer, and the engine may have run the call.
-                raise BrokenConnectionError(f"a success of {view.key.id} bears no signature")
+            self._check_origin(exchange, head)
             self._learn_state(view, head)
             if self._codec.says_not_run(head.status, head.headers):
                 attempt.outcome = f"refused {head.status}"
@@ -326,6 +318,19 @@
             raise no_attempt_error(history)
         return answer
 
+    def _check_origin(self, exchange: Exchange, head: ResponseHead) -> None:
+        """Check that an answer is the engine's answer to this call, which the engine may have run.
+
+        Raises:
+            BrokenConnectionError: The answer may be that to another call, or comes from elsewhere.
+
+        """
+        if exchange.reused and not self._codec.names_attempt(head.headers):
+            # It may be a late copy of an answer to an earlier request on this connection.
+            raise BrokenConnectionError("an answer on a kept connection names no request")
+        if head.status < HTTPStatus.MULTIPLE_CHOICES and not self._codec.is_signed(head.headers):
+            raise BrokenConnectionError("a success bears no signature of an engine")
+
     def _learn_state(self, view: EngineView, head: ResponseHead) -> None:
         """Learn what an engine says of itself in an answer."""
         if head.status == HTTPStatus.MISDIRECTED_REQUEST:
