--- a/tests/cover/test_gateway_http_client.py
+++ b/tests/cover/test_gateway_http_client.py
@@ -43,7 +43,9 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        async with contextlib.AsyncExitStack() as stack:
+            stack.callback(writer.close)
+            stack.enter_context(contextlib.suppress(asyncio.IncompleteReadError, ConnectionError))
             while True:
                 await reader.readuntil(b"\r\n\r\n")
                 script = self.scripts[self.requests]
