--- a/tests/cover/test_gateway_drawn_answers.py
+++ b/tests/cover/test_gateway_drawn_answers.py
@@ -1,6 +1,6 @@
 """Drawn answers of engines, over real sockets: only those that are whole look so to callers.
 
-A longer search is started by hand: ``EXAMPLES=10000 python -m pytest`` with this file.
+A longer search is started by hand: ``EXAMPLES=10000 python -m pytest --timeout=0`` with this file.
 """
 
 import asyncio
