--- a/tests/cover/test_engines.py
+++ b/tests/cover/test_engines.py
@@ -217,6 +217,8 @@
                     task.cancel()
                 results = await asyncio.gather(*tasks, return_exceptions=True)
                 for result in results:
+                    if isinstance(result, Exception):
+                        raise result
                     if not isinstance(result, asyncio.CancelledError):
                         self.assertTrue(b"".join(result[1]).endswith(b"[DONE]\n\n"))
                 self.assertTrue(await wait_until(lambda: not engine.engine.running))
