Read whole requests in the bare server of tests

It closed its connection after the head of a request; bytes of the body that arrived later would have reset the connection before its answer was read.

--- a/tests/cover/test_engines.py
+++ b/tests/cover/test_engines.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import re
 import socket
 
 from testtools import TestCase
@@ -79,12 +80,18 @@
     requests = []
 
     async def serve(reader, writer):
-        requests.append(await reader.readuntil(b"\r\n\r\n"))
-        writer.write(answer)
-        await writer.drain()
-        if ends:
-            server.close()
-        writer.close()
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            # Closing a connection with unread bytes would reset it.
+            length = re.search(rb"(?i)content-length: (\d+)", head)
+            await reader.readexactly(int(length.group(1)) if length else 0)
+            requests.append(head)
+            writer.write(answer)
+            await writer.drain()
+            if ends:
+                server.close()
+        finally:
+            writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
