Add review case 8: a charge that has run is answered 503

Cause: a gateway passes an engine's 503 without X-Jayvalve-Not-Executed on to the caller of a request that must not be repeated. To the caller it is a promise that the request has not run.

--- /dev/null
+++ b/review/support2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and clients of the second review, with the standard library only."""
--- /dev/null
+++ b/review/support2/case.py
@@ -0,0 +1,56 @@
+"""Frame of a case: its folder, its record and its exit status."""
+
+import asyncio
+import os
+import pathlib
+import sys
+import tempfile
+import time
+import traceback
+from collections.abc import Awaitable, Callable
+
+from .fleet import CannotRunError
+
+LIMIT_S = 115.0
+
+
+class Record:
+    """What was sent, answered and run, in record.txt and on standard output."""
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self._file = path.open("w", encoding="utf-8")
+        self._started_s = time.monotonic()
+
+    def note(self, text: str) -> None:
+        """Write a line with the time since the start."""
+        line = f"{time.monotonic() - self._started_s:7.3f} {text}"
+        print(line, flush=True)
+        self._file.write(line + "\n")
+        self._file.flush()
+
+
+def run_case(
+    file: str, work: Callable[[Record, pathlib.Path, bool], Awaitable[list[str]]]
+) -> None:
+    """Run a case and exit with 1 if it returns broken rules, 0 if not, 2 if it cannot run."""
+    record = Record(pathlib.Path(file).parent / "record.txt")
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    record.note(f"trouble: {trouble}")
+
+    async def bounded() -> list[str]:
+        with tempfile.TemporaryDirectory(prefix="review-") as folder:
+            async with asyncio.timeout(LIMIT_S):
+                return await work(record, pathlib.Path(folder), trouble)
+
+    try:
+        broken = asyncio.run(bounded())
+    except CannotRunError as error:
+        record.note(f"cannot run: {error}")
+        sys.exit(2)
+    except Exception:
+        record.note(f"cannot run: {traceback.format_exc()}")
+        sys.exit(2)
+    for line in broken:
+        record.note(f"BROKEN {line}")
+    record.note("the rule was broken" if broken else "the rule held")
+    sys.exit(1 if broken else 0)
