--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,103 +1,109 @@
-"""A request that crashes engines comes again after all gateways were killed."""
+"""An engine does the work of a charge and reports its failure with 503."""
 
 import asyncio
 import pathlib
+import random
 
 from review.support2.case import Record, run_case
 from review.support2.engine import Engine
-from review.support2.fleet import MODELS, Fleet, configuration
-from review.support2.http import Channel
+from review.support2.fleet import TOOLS, Fleet, configuration
+from review.support2.http import Channel, Message
 
-DEADLY = b"this input crashes the engine"
-ENGINES = 5
-STABLE_WINDOW_S = 3.0
-PAUSE_S = 0.4
-KILLS = 2
+ORDERS = 800
+REQUESTERS = 8
+PAUSE_S = 0.1
+# The site's mean work of a charge.
+WORK_S = 0.06
+RETRIES = 2
+LIMIT_MS = 1500
+# srv_grey: share (.15) of a service's servers fail x (.4) of their requests; one of four here.
+ENGINES = 4
+FAILING = 1
+FAILED_SHARE = 0.4
 
 
 async def work(record: Record, folder: pathlib.Path, trouble: bool) -> list[str]:
-    """Send the request again and again, and count the engines that it reaches."""
+    """Charge cards, and compare what the requesters were told with what ran."""
     fleet = Fleet(folder)
     route = {
-        "name": "advice",
-        "path_prefix": "/advice/",
-        "type": "streaming",
-        "service": "model-pool",
-        "resumable": True,
+        "name": "charge",
+        "path_prefix": "/charge/",
+        "type": "non_idempotent",
+        "service": "dispatch-app",
+        "timeout_ms": LIMIT_MS,
+        "target_latency_ms": 250,
     }
-    engines = [
-        Engine(f"model-{number}", "model-pool", events=6, deadly=DEADLY)
-        for number in range(1, ENGINES + 1)
-    ]
-    loop = asyncio.get_running_loop()
-    count = 0
+    rng = random.Random(1)
 
-    def reached() -> int:
-        return sum(DEADLY in body for engine in engines for _, _, body in engine.runs)
+    def fails(_: Message) -> bool:
+        return trouble and rng.random() < FAILED_SHARE
 
-    async def send(body: bytes) -> int:
-        nonlocal count
-        count += 1
-        gateway = fleet.gateways[count % len(fleet.gateways)]
-        headers = {
-            "Host": "shop.example",
-            "X-Jayvalve-Attempt-Id": f"attempt-{count}",
-            "X-Jayvalve-Program-Id": "program-1",
-            "X-Jayvalve-Token-Usage": "100,78",
-            "X-Jayvalve-Deadline-Ms": "3000",
-        }
-        before = reached()
-        channel = Channel(gateway.port)
-        answer = await channel.ask("POST", "/advice/say", headers, body)
-        channel.close()
-        record.note(
-            f"attempt-{count} to {gateway.name}: status {answer.status}, reached "
-            f"{reached() - before} engines, {sum(each.crashes for each in engines)} crashes so far"
+    engines = [
+        Engine(
+            f"app-{number}",
+            "dispatch-app",
+            event_s=WORK_S,
+            fails=fails if number <= FAILING else lambda _: False,
         )
-        return answer.status
+        for number in range(1, ENGINES + 1)
+    ]
+    told: dict[str, tuple[int, bool]] = {}
+    orders: dict[str, list[str]] = {}
+    waiting = list(range(ORDERS))
 
-    async def repeat(seconds: float) -> None:
-        end_s = loop.time() + seconds
-        while loop.time() < end_s:
-            await send(DEADLY)
+    async def requester(port: int) -> None:
+        while waiting:
+            order = f"order-{waiting.pop(0)}"
+            orders[order] = []
+            for number in range(RETRIES + 1):
+                attempt = f"{order}.{number}"
+                orders[order].append(attempt)
+                headers = {
+                    "Host": "shop.example",
+                    "X-Jayvalve-Attempt-Id": attempt,
+                    "X-Jayvalve-Deadline-Ms": str(LIMIT_MS),
+                }
+                channel = Channel(port)
+                answer = await channel.ask("POST", "/charge/card", headers, order.encode())
+                channel.close()
+                signed = "x-jayvalve-server-signature" in answer.headers
+                told[attempt] = answer.status, signed
+                if answer.status != 200:
+                    stated = "x-jayvalve-not-executed" in answer.headers
+                    record.note(
+                        f"{attempt}: status {answer.status}, signature {signed}, "
+                        f"not-executed {stated}"
+                    )
+                # A request that isn't idempotent is sent again only after a promise.
+                if answer.status not in (408, 421, 429, 503):
+                    break
+                await asyncio.sleep(float(answer.headers.get("retry-after", "0.05")))
             await asyncio.sleep(PAUSE_S)
 
     try:
-        await fleet.start(configuration([route], [MODELS]), engines, gateways=3)
-        if await send(b"ordinary input") != 200:
-            raise RuntimeError("an ordinary request was not served")
-        while sum(each.crashes for each in engines) < 3:
-            if loop.time() > 1e9 or count > 60:
-                raise RuntimeError("the request did not crash three engines")
-            await send(DEADLY)
-            await asyncio.sleep(PAUSE_S)
-        third_s = loop.time()
-        record.note("the third engine has crashed")
-        await asyncio.sleep(third_s + STABLE_WINDOW_S + 1.0 - loop.time())
-        known = reached()
-        await repeat(4.0)
-        for _ in range(KILLS):
-            if trouble:
-                record.note("kill all gateways")
-                await asyncio.gather(*(each.kill() for each in fleet.gateways))
-                for each in fleet.gateways:
-                    await each.start()
-                for each in fleet.gateways:
-                    await each.wait_ready()
-                record.note("all gateways are ready again")
-            # Machines are in touch again after this time without a disruption.
-            await asyncio.sleep(STABLE_WINDOW_S + 1.5)
-            await repeat(10.0)
-        retries = reached() - known
+        await fleet.start(configuration([route], [TOOLS]), engines, gateways=2)
+        await asyncio.gather(
+            *(requester(fleet.gateways[each % 2].port) for each in range(REQUESTERS))
+        )
     finally:
         await fleet.stop()
-    record.note(f"{retries} retries reached engines since the third crash")
-    if retries > 3:
-        return [
-            f"BUDGET: the request reached engines in {retries} retries, sent by machines in touch "
-            f"later than {STABLE_WINDOW_S:g} s after it had crashed the third"
-        ]
-    return []
+    runs: dict[str, int] = {}
+    for engine in engines:
+        for attempt, _, _ in engine.runs:
+            runs[attempt] = runs.get(attempt, 0) + 1
+    record.note(f"{len(runs)} attempts at {ORDERS} orders ran")
+    broken = [
+        f"TWICE: {attempt} ran {count} times" for attempt, count in runs.items() if count > 1
+    ]
+    for attempt, (status, signed) in told.items():
+        if status in (408, 421, 429, 503) and runs.get(attempt):
+            order = attempt.partition(".")[0]
+            charged = sum(each in runs for each in orders[order])
+            broken.append(
+                f"REFUSED: {attempt} was answered {status} (signature {signed}) and has run; "
+                f"{order} was charged {charged} times"
+            )
+    return broken
 
 
 run_case(__file__, work)
--- a/review/support2/engine.py
+++ b/review/support2/engine.py
@@ -43,6 +43,11 @@
         self.down_s = down_s
         self.down = False
         self.crashes = 0
+        # The next stream has neither a length nor chunks, and ends with its connection.
+        self.unframed_next = False
+        self.streams = 0
+        # Attempts whose streams were written to their last event.
+        self.ended: set[str] = set()
         self.born_ms = time.time_ns() // 1_000_000
         self.port = 0
         self.sequence = 0
@@ -135,16 +140,23 @@
             await _send(writer, "200 OK", head, f"done {attempt}".encode())
             return
         first = int(request.headers.get("last-event-id", "0")) + 1
+        framed, self.unframed_next = not self.unframed_next, False
+        self.streams += 1
         lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in head.items())]
-        lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked", "", ""]
-        writer.write("\r\n".join(lines).encode())
+        lines.append("Content-Type: text/event-stream")
+        lines.append("Transfer-Encoding: chunked" if framed else "Connection: close")
+        writer.write("\r\n".join([*lines, "", ""]).encode())
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.event_s)
             event = f"id: {number}\ndata: {attempt}/{number}\n\n".encode()
-            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n" if framed else event)
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
+        self.ended.add(attempt)
+        if framed:
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        else:
+            writer.close()
 
 
 async def _send(
