--- a/review/support2/case.py
+++ b/review/support2/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -38,6 +39,10 @@
     record.note(f"trouble: {trouble}")
 
     async def bounded() -> list[str]:
+        # A case that is stopped ends the processes that it started.
+        current = asyncio.current_task()
+        assert current is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, current.cancel)
         with tempfile.TemporaryDirectory(prefix="review-") as folder:
             async with asyncio.timeout(LIMIT_S):
                 return await work(record, pathlib.Path(folder), trouble)
@@ -47,7 +52,7 @@
     except CannotRunError as error:
         record.note(f"cannot run: {error}")
         sys.exit(2)
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         record.note(f"cannot run: {traceback.format_exc()}")
         sys.exit(2)
     for line in broken:
--- a/review/support2/engine.py
+++ b/review/support2/engine.py
@@ -17,8 +17,6 @@
         event_s: Time that an event, or the work of a plain request, takes.
         fails: Called with a request that has run; returns whether it is answered with a failure.
         failure: Status line of that answer.
-        deadly: Text in a body at which the engine crashes soon after it has begun to run it.
-        down_s: How long the engine is away after a crash.
 
     """
 
@@ -30,8 +28,6 @@
         event_s: float = 0.02,
         fails: Callable[[Message], bool] = lambda _: False,
         failure: str = "503 Service Unavailable",
-        deadly: bytes = b"",
-        down_s: float = 3.0,
     ) -> None:
         self.name = name
         self.service = service
@@ -39,28 +35,20 @@
         self.event_s = event_s
         self.fails = fails
         self.failure = failure
-        self.deadly = deadly
-        self.down_s = down_s
-        self.down = False
-        self.crashes = 0
         # The next stream has neither a length nor chunks, and ends with its connection.
         self.unframed_next = False
         self.streams = 0
-        # Attempts whose streams were written to their last event.
-        self.ended: set[str] = set()
         self.born_ms = time.time_ns() // 1_000_000
         self.port = 0
         self.sequence = 0
         # Attempt, path and body of each run, in order.
         self.runs: list[tuple[str, str, bytes]] = []
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Begin to listen."""
         self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", self.port, limit=MAX_HEAD_BYTES
+            self._serve, "127.0.0.1", 0, limit=MAX_HEAD_BYTES
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
@@ -84,22 +72,7 @@
             "born": self.born_ms,
         }
 
-    async def _crash(self) -> None:
-        await asyncio.sleep(0.2)
-        if self.down:
-            return
-        self.down = True
-        self.crashes += 1
-        self.stop()
-        for writer in list(self._writers):
-            writer.transport.abort()
-        await asyncio.sleep(self.down_s)
-        self.born_ms = time.time_ns() // 1_000_000
-        await self.start()
-        self.down = False
-
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._writers.add(writer)
         try:
             while True:
                 request = await read_head(reader)
@@ -108,7 +81,6 @@
         except (asyncio.IncompleteReadError, OSError, ValueError):
             pass
         finally:
-            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, request: Message, writer: asyncio.StreamWriter) -> None:
@@ -122,12 +94,6 @@
             await _send(writer, "421 Misdirected Request", head, b"")
             return
         self.runs.append((attempt, path, request.body))
-        if self.deadly and self.deadly in request.body:
-            task = asyncio.ensure_future(self._crash())
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-            await asyncio.sleep(10.0)
-            return
         head = {
             "X-Jayvalve-Attempt-Id": attempt,
             "X-Jayvalve-Server-Signature": f"{self.name}.{attempt}",
@@ -151,7 +117,6 @@
             event = f"id: {number}\ndata: {attempt}/{number}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n" if framed else event)
             await writer.drain()
-        self.ended.add(attempt)
         if framed:
             writer.write(b"0\r\n\r\n")
             await writer.drain()
--- a/review/support2/fleet.py
+++ b/review/support2/fleet.py
@@ -178,8 +178,7 @@
         while True:
             await asyncio.sleep(BEAT_S)
             for engine in self.engines:
-                if not engine.down:
-                    self.store.put("keyed.servers", engine.name, engine.entry())
+                self.store.put("keyed.servers", engine.name, engine.entry())
 
 
 def configuration(routes: list[dict], services: list[dict], version: int = 1) -> dict:
