--- a/review/support2/case.py
+++ b/review/support2/case.py
@@ -11,6 +11,7 @@
 from collections.abc import Awaitable, Callable
 
 from .fleet import CannotRunError
+from .http import Trace
 
 LIMIT_S = 115.0
 
@@ -24,10 +25,14 @@
 
     def note(self, text: str) -> None:
         """Write a line with the time since the start."""
+        print(self.trace(text), flush=True)
+
+    def trace(self, text: str) -> str:
+        """Write and return such a line, without showing it."""
         line = f"{time.monotonic() - self._started_s:7.3f} {text}"
-        print(line, flush=True)
         self._file.write(line + "\n")
         self._file.flush()
+        return line
 
 
 def run_case(
@@ -37,6 +42,7 @@
     record = Record(pathlib.Path(file).parent / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note(f"trouble: {trouble}")
+    Trace.write = staticmethod(record.trace)
 
     async def bounded() -> list[str]:
         # A case that is stopped ends the processes that it started.
--- a/review/support2/engine.py
+++ b/review/support2/engine.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable
 
-from .http import MAX_HEAD_BYTES, Message, read_body, read_head
+from .http import MAX_HEAD_BYTES, Message, Trace, read_body, read_head
 
 
 class Engine:
@@ -94,6 +94,7 @@
             await _send(writer, "421 Misdirected Request", head, b"")
             return
         self.runs.append((attempt, path, request.body))
+        Trace.write(f"ran {attempt} {path} at {self.name}, {len(request.body)} bytes")
         head = {
             "X-Jayvalve-Attempt-Id": attempt,
             "X-Jayvalve-Server-Signature": f"{self.name}.{attempt}",
--- a/review/support2/http.py
+++ b/review/support2/http.py
@@ -1,11 +1,18 @@
 """HTTP/1.1 over asyncio streams, as far as the stand-ins and the clients need it."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 MAX_HEAD_BYTES = 64 * 1024
 
 
+class Trace:
+    """Where requests, answers and runs are written; a case sets the function."""
+
+    write: Callable[[str], None] = staticmethod(lambda _: None)
+
+
 @dataclass
 class Message:
     """A request or an answer.
@@ -87,6 +94,26 @@
     ) -> Message:
         """Send a request and return the answer, which has status 0 if none arrived."""
         answer = Message(["", "0"], whole=False)
+        attempt = headers.get("X-Jayvalve-Attempt-Id")
+        if attempt is not None:
+            Trace.write(f"sent {attempt} {method} {path} to {self._port}, {len(body or b'')} bytes")
+        try:
+            await self._exchange(method, path, headers, body, timeout_s, answer)
+        finally:
+            if attempt is not None:
+                state = "whole" if answer.whole else "cut"
+                Trace.write(f"answered {attempt}: {answer.status} {state}, {len(answer.body)} bytes")
+        return answer
+
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes | None,
+        timeout_s: float,
+        answer: Message,
+    ) -> None:
         try:
             async with asyncio.timeout(timeout_s):
                 if self._writer is None:
@@ -100,18 +127,17 @@
                 self._writer.write("\r\n".join([*lines, "", ""]).encode() + (body or b""))
                 await self._writer.drain()
                 assert self._reader is not None
-                answer = await read_head(self._reader)
-                answer.whole = False
+                head = await read_head(self._reader)
+                answer.first, answer.headers = head.first, head.headers
                 if method != "HEAD" and answer.status not in (204, 304):
                     await read_body(self._reader, answer, until_close=True)
                 answer.whole = True
         except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError) as error:
             answer.error = repr(error)[:100]
             self.close()
-            return answer
+            return
         if answer.headers.get("connection", "").lower() == "close":
             self.close()
-        return answer
 
     def close(self) -> None:
         """Close the connection; the next request opens another one."""
