Answer 502 when an engine that may have run a call says 503

What callers saw: a charge that an engine had run and then answered with 503 reached its caller as 503, which promises that it has not run.

Cause: the sender tells a refusal from a failure by the engine's own statement, but the service relayed the status of every failure. At an engine, 408, 429 and 503 state nothing; at a gateway they are a promise. The same held for streams that cannot be resumed, for 402 on turns with a budget, and for 404 and 410 on turns that name a previous one.

Change: an engine's failure whose status would be such a promise for the call is answered 502 without the engine's headers, at once. The health of the engine records it as before. Other failures, and those of calls that may be repeated, keep their status and signature.

--- a/src/jayvalve/internal/gateway/sender.py
+++ b/src/jayvalve/internal/gateway/sender.py
@@ -23,6 +23,7 @@
     judge_end,
     needs_survival,
 )
+from jayvalve.internal.gateway.caller_promises import denies_run
 from jayvalve.internal.gateway.calls import AttemptHistory, AttemptRecord, Call, HeaderCodec
 from jayvalve.internal.gateway.crash_guard import CrashGuard
 from jayvalve.internal.gateway.directory import EngineDirectory, EngineView
@@ -188,8 +189,16 @@
                     self._guard.end(trial, run)
             if answer is not None:
                 answer.trial = trial
+                self._check_status(answer)
                 return answer
 
+    def _check_status(self, answer: EngineAnswer) -> None:
+        status = answer.head.status
+        if denies_run(answer.call, status):
+            # The status is the engine's whole result; the caller gets nothing of the body.
+            self.close(answer, received=True)
+            raise EndpointFailedError(f"the engine may have run the call and answered {status}")
+
     async def judge_end(self, answer: EngineAnswer, body: BodyEnd) -> None:
         """Check the end of an answer whose connection has not failed, and record the result.
 
