Reset unfinished answers whose gateway or entry is killed

What callers saw: half a stream that ended in order when its gateway was killed, with status 200 and nothing that told it from a whole one (ORDER); the next turn, which named it, was answered 404 (LOST).

Cause: an answer without a length or chunks ends with its connection at the caller too. A gateway that breaks it off resets the connection, but the kernel closes the connections of a killed process in order. Callers of HTTP/1.0 got every stream in this way, also from entries.

Change: from the head of such an answer on, the connection is set to end with a reset whenever it is closed, by whomever. The setting is taken back when the answer is whole and the kernel has all its bytes. The framing of answers stays that of their engines.

--- a/src/jayvalve/internal/entry/http.py
+++ b/src/jayvalve/internal/entry/http.py
@@ -20,7 +20,7 @@
 from jayvalve.internal.entry.authentication import TokenTable
 from jayvalve.internal.entry.request import HEADER_NAMES
 from jayvalve.internal.held_bytes import HeldBody, needed_bytes
-from jayvalve.internal.http_framing import reset_connection
+from jayvalve.internal.http_framing import reset_connection, set_reset_on_close
 from jayvalve.internal.http_server import release_share, share_of
 from jayvalve.internal.wire.messages import Chunk, Completed, Forward, ResponseHead
 
@@ -139,13 +139,13 @@
                 if isinstance(part, ResponseHead):
                     self._write_head(part)
                 elif isinstance(part, Chunk):
+                    if not written:
+                        self._set_reset_on_close(True)
                     self.write(part.data)
                     await self.flush()
                     written = True
                 else:
-                    await self.finish()
-                    if self.request.version == "HTTP/1.0":
-                        self.request.connection.stream.close()  # type: ignore[union-attr]
+                    await self._finish_answer()
                     return
             raise EndpointFailedError("the answer ended without its completion")
         except StreamClosedError:
@@ -166,6 +166,13 @@
         for name, value in head.headers.items():
             self.set_header(name, value)
 
+    async def _finish_answer(self) -> None:
+        # All parts were flushed.
+        self._set_reset_on_close(False)
+        await self.finish()
+        if self.request.version == "HTTP/1.0":
+            self.request.connection.stream.close()  # type: ignore[union-attr]
+
     async def _abort_answer(self, error: JayvalveError) -> None:
         # The status line has already been sent. The last event of a stream tells the error. Then
         # the connection is closed without the end of the answer, so that the caller cannot mistake
@@ -174,13 +181,26 @@
         is_stream = media_type(self._headers) == EVENT_STREAM
         if is_stream:
             self.write(b"data: " + json.dumps(error.as_document()).encode() + b"\n\n")
+            await self.flush()
             if is_old:
                 # A reset could discard the event.
+                self._set_reset_on_close(False)
                 self.finish()
                 return
-            await self.flush()
         if self.request.connection is not None:
             stream = self.request.connection.stream  # type: ignore[attr-defined]
             if is_old:
                 reset_connection(stream)
             stream.close()
+
+    def _set_reset_on_close(self, enabled: bool) -> None:
+        """Choose how an answer that nothing but its connection ends is closed.
+
+        If this process is killed, the kernel closes the connection. A close in order would make
+        what was sent look complete.
+        """
+        if self.request.version == "HTTP/1.0" and self.request.connection is not None:
+            set_reset_on_close(
+                self.request.connection.stream,  # type: ignore[attr-defined]
+                enabled,
+            )
--- a/src/jayvalve/internal/gateway/frontend.py
+++ b/src/jayvalve/internal/gateway/frontend.py
@@ -25,7 +25,12 @@
     default_guard,
 )
 from jayvalve.internal.gateway.model import CallerLimits
-from jayvalve.internal.http_framing import Framing, reset_connection, sent_framing
+from jayvalve.internal.http_framing import (
+    Framing,
+    reset_connection,
+    sent_framing,
+    set_reset_on_close,
+)
 from jayvalve.internal.timing import Clock
 
 __all__ = ["Frontend", "HttpResponder"]
@@ -95,6 +100,9 @@
         if self._closes:
             headers["Connection"] = "close"
         if ends_with_connection:
+            # If this process is killed, the kernel closes the connection. A close in order would
+            # make what was sent look complete.
+            self._set_reset_on_close(True)
             # write_headers() would choose chunks, or keep the connection of an HTTP/1.0 caller.
             self._connection.write(_encode_head(status, reason, headers))
         else:
@@ -122,6 +130,9 @@
     def finish(self) -> None:
         """End the answer as complete."""
         self._finished = True
+        if self._framing is Framing.CONNECTION:
+            # The kernel has all bytes of the body: write() has waited for that.
+            self._set_reset_on_close(False)
         self._connection.finish()
         # The connection is closed only if the answer announced it with "Connection: close".
         # Otherwise the caller may already be sending its next request.
@@ -139,6 +150,10 @@
             reset_connection(self._connection.stream)
         self._connection.close()
 
+    def _set_reset_on_close(self, enabled: bool) -> None:
+        if self._connection.stream is not None:
+            set_reset_on_close(self._connection.stream, enabled)
+
 
 def _encode_head(status: int, reason: str, headers: HTTPHeaders) -> bytes:
     lines = [
--- a/src/jayvalve/internal/http_framing.py
+++ b/src/jayvalve/internal/http_framing.py
@@ -17,12 +17,14 @@
     "received_framing",
     "reset_connection",
     "sent_framing",
+    "set_reset_on_close",
 ]
 
 _log = logger.bind(part="http_framing")
 
 # SO_LINGER with a time of zero: close() discards unsent bytes and sends a reset.
 _LINGER_RESET = struct.pack("ii", 1, 0)
+_LINGER_OFF = struct.pack("ii", 0, 0)
 
 
 # RFC 9112, section 4. Versions 1.2 to 1.9 would be read as 1.1.
@@ -124,14 +126,25 @@
     return Framing.CHUNKS if version == "HTTP/1.1" else Framing.CONNECTION
 
 
+def set_reset_on_close(stream: IOStream, enabled: bool) -> None:
+    """Choose whether a connection ends with a reset when it is closed.
+
+    This holds also if the kernel closes it because the process was killed. Bytes that were not
+    sent yet are lost with a reset.
+    """
+    if stream.socket is None:
+        return
+    try:
+        option = _LINGER_RESET if enabled else _LINGER_OFF
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+    except OSError as error:
+        _log.bind(error=repr(error)).info("a connection cannot be reset")
+
+
 def reset_connection(stream: IOStream) -> None:
     """Close a connection with a reset, so that what was sent does not look complete.
 
     Bytes that were not sent yet are lost.
     """
-    if stream.socket is not None:
-        try:
-            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
-        except OSError as error:
-            _log.bind(error=repr(error)).info("a connection cannot be reset")
+    set_reset_on_close(stream, True)
     stream.close()
--- a/tests/slow/gateway_crowd.py
+++ b/tests/slow/gateway_crowd.py
@@ -78,24 +78,34 @@
             await asyncio.sleep(0.05)
 
 
+async def _start_engines(stack):
+    entries = {}
+    for name, service in (("tool-0", "tools"), ("model-0", "models")):
+        streaming = service == "models"
+        settings = PlatformEngineSettings(
+            name, streaming=streaming, work_ms=10.0 if streaming else 50.0
+        )
+        engine = PlatformEngine(settings)
+        port = await engine.start()
+        stack.push_async_callback(engine.stop)
+        entries[name] = engine.entry(service, f"{HOST}:{port}")
+    return entries
+
+
 @contextlib.asynccontextmanager
-async def run_gateway(memory_mb, margin_mb, file_descriptors=FILE_DESCRIPTORS):
-    """Run a store, engines that take some time, and a gateway process that is ready."""
+async def run_gateway(memory_mb, margin_mb, file_descriptors=FILE_DESCRIPTORS, engines=None):
+    """Run a store, engines that take some time, and a gateway process that is ready.
+
+    If entries of engines are given, those are used instead.
+    """
     async with contextlib.AsyncExitStack() as stack:
         store = PlatformStore(PlatformStoreSettings(parts=2))
         store_port = await store.start()
         stack.push_async_callback(store.stop)
         store.put("keyed.op", "config", configuration())
-        for name, service in (("tool-0", "tools"), ("model-0", "models")):
-            streaming = service == "models"
-            engine = PlatformEngine(
-                PlatformEngineSettings(
-                    name, streaming=streaming, work_ms=10.0 if streaming else 50.0
-                )
-            )
-            engine_port = await engine.start()
-            stack.push_async_callback(engine.stop)
-            store.put("keyed.servers", name, engine.entry(service, f"{HOST}:{engine_port}"))
+        entries = await _start_engines(stack) if engines is None else engines
+        for name, entry in entries.items():
+            store.put("keyed.servers", name, entry)
         port, readiness_port, peer_port = free_port(), free_port(), free_port()
         control_port = free_port()
         settings = {
