Log what an engine answered when its status is withheld

Cause: closing an answer whose body is not read marks the attempt as broken, so that the log of a withheld 503 looked like a lost connection.

Change: such an attempt has the outcome "answered 503".

--- a/src/jayvalve/internal/gateway/sender.py
+++ b/src/jayvalve/internal/gateway/sender.py
@@ -197,6 +197,7 @@
         if denies_run(answer.call, status):
             # The status is the engine's whole result; the caller gets nothing of the body.
             self.close(answer, received=True)
+            answer.attempt.outcome = f"answered {status}"
             raise EndpointFailedError(f"the engine may have run the call and answered {status}")
 
     async def judge_end(self, answer: EngineAnswer, body: BodyEnd) -> None:
--- a/tests/cover/test_gateway_failures_that_ran.py
+++ b/tests/cover/test_gateway_failures_that_ran.py
@@ -1,5 +1,9 @@
 """Failures of engines that ran a call reach no caller as a promise that it has not run."""
 
+import json
+import pathlib
+import tempfile
+
 from tests.platform_support import Deployment
 from tests.scripted_engine import ScriptedEngine, success
 from tests.support import AsyncTestCase
@@ -10,24 +14,24 @@
 NOT_RUN_STATUSES = (408, 429, 503)
 
 
-def failure(attempt, status, fields=""):
-    """Return a signed failure, with more fields of its head."""
+def failure(attempt, status):
+    """Return a signed failure with a field that a caller would follow."""
     answer = success(attempt, "failed").decode()
-    return answer.replace("200 OK", f"{status} Failure\r\nRetry-After: 1{fields}").encode()
+    return answer.replace("200 OK", f"{status} Failure\r\nRetry-After: 1").encode()
 
 
 class FailureThatRanTests(AsyncTestCase):
-    def play(self, path, *answers, headers=None, fields="", closes=False):
+    def play(self, path, *answers, headers=None, closes=False, log_folder=None):
         """Return the answers to calls that an engine answers with a text or a status."""
 
         def answer(number, attempt):
             script = answers[min(number, len(answers) - 1)]
             if isinstance(script, int):
-                return failure(attempt, script, fields), closes
+                return failure(attempt, script), closes
             return success(attempt, script, EVENT_STREAM), False
 
         async def run():
-            async with Deployment.run(models=0, tools=0) as deployment:
+            async with Deployment.run(models=0, tools=0, log_folder=log_folder) as deployment:
                 service = "models" if path.startswith(("/chat", "/advice")) else "tools"
                 engine = ScriptedEngine(answer)
                 async with engine.run(deployment, "engine", service):
@@ -56,6 +60,16 @@
                     (answer,) = self.play(path, status, closes=closes)
                     self.assert_hidden(answer, (path, status, closes))
 
+    def test_the_log_tells_what_the_engine_answered(self):
+        """Guards against a status 502 that cannot be told from a broken connection."""
+        with tempfile.TemporaryDirectory() as folder:
+            self.play("/charge/1", 503, log_folder=folder)
+            text = "".join(path.read_text() for path in pathlib.Path(folder).iterdir())
+        lines = [json.loads(line) for line in text.splitlines() if '"call-0"' in line]
+        (line,) = [each for each in lines if each.get("id") == "call-0"]
+        self.assertEqual(("failed", 502), (line["outcome"], line["status"]))
+        self.assertEqual(["answered 503"], [each["outcome"] for each in line["attempts"]])
+
     def test_a_turn_that_ran_is_not_said_to_exceed_its_budget(self):
         """Guards against REFUSED: a program that ends as if its budget were spent."""
         budget = {"X-Jayvalve-Program-Id": "p", "X-Jayvalve-Token-Budget": "100"}
