Cross whole, held and chunked bodies with every kind of route

Cause: held and chunked bodies were sent to two kinds of route only, so that nothing showed how the memory for turns, streams and plain calls adds up.

--- a/tests/slow/test_gateway_crowds.py
+++ b/tests/slow/test_gateway_crowds.py
@@ -45,6 +45,7 @@
 BODY = b"x" * (4 * MIB)
 CHUNKS = b"400\r\n%b\r\n" % (b"z" * 1024) * 4095
 KEPT, STREAMED, REPEATABLE, ONCE = "/chat/", "/advice/", "/status/", "/charge/"
+ROUTES = (KEPT, STREAMED, REPEATABLE, ONCE)
 
 SENDS = Registry("send")
 
@@ -122,6 +123,8 @@
         self,
         name,
         path=REPEATABLE,
+        *,
+        routes=(),
         targets=("port",),
         reads=False,
         machine=SMALL,
@@ -129,24 +132,27 @@
     ):
         for size in sizes:
             with self.subTest(f"{size} clients"):
-                self.run_async(self._check(name, path, targets, reads, size, machine), 90.0)
+                paths = routes or (path,)
+                self.run_async(self._check(name, paths, targets, reads, size, machine), 90.0)
 
-    async def _check(self, name, path, targets, reads, size, machine):
+    async def _check(self, name, paths, targets, reads, size, machine):
         memory_mb, margin_mb = machine
         async with run_gateway(memory_mb, margin_mb, FILE_DESCRIPTORS) as gateway:
             if name == "turns that continue large ones":
                 for number in range(LARGE_TURNS):
-                    answer = await request(gateway.port, path, attempt=f"large-{number}", body=BODY)
+                    answer = await request(gateway.port, KEPT, attempt=f"large-{number}", body=BODY)
                     self.assertTrue(answer.whole)
 
+            next_path = itertools.cycle(paths)
+
             def script():
-                return SENDS.get(name)(path)
+                return SENDS.get(name)(next(next_path))
 
             seconds = CROWD_S if len(targets) == 1 else OTHER_PORT_S
             for target in targets:
                 await run_crowd(gateway, getattr(gateway, target), size, script, reads, seconds)
             print(
-                f"{name} at {path} of {', '.join(targets)}, {size} clients: peak "
+                f"{name} at {', '.join(paths)} of {', '.join(targets)}, {size} clients: peak "
                 f"{gateway.peak_bytes / MIB:.0f} of {memory_mb - margin_mb} MiB, descriptors "
                 f"{gateway.most_descriptors}"
             )
@@ -206,6 +212,15 @@
     def test_bodies_in_chunks_on_a_kept_route(self):
         self.check("bodies in chunks", KEPT)
 
+    def test_bodies_that_lack_one_byte_on_every_route(self):
+        self.check("bodies that lack one byte", routes=ROUTES)
+
+    def test_bodies_in_chunks_on_every_route(self):
+        self.check("bodies in chunks", routes=ROUTES)
+
+    def test_whole_bodies_on_every_route(self):
+        self.check("whole bodies", routes=ROUTES, reads=True)
+
     def test_heads_at_the_ports_of_peers_readiness_and_operators(self):
         self.check("heads that stop just short of their end", targets=OTHER_PORTS)
 
