--- a/src/jayvalve/internal/gateway/calls.py
+++ b/src/jayvalve/internal/gateway/calls.py
@@ -93,6 +93,9 @@
         framing: What marks the end of the engine's answer, or None if no answer arrived.
         end: What is known of the end of that answer, or None if it was not reached.
         may_have_run: False once it is known that the engine has not run the attempt.
+        after_id: Id of the event after which the engine was to resume a stream, or None for a new
+            run.
+        events: Number of events with data that arrived from the engine.
 
     """
 
@@ -106,6 +109,8 @@
     framing: str | None = None
     end: AnswerEnd | None = None
     may_have_run: bool = True
+    after_id: str | None = None
+    events: int = 0
     outcome: str = "cancelled"
     elapsed_s: float = 0.0
 
@@ -122,6 +127,8 @@
             "framing": self.framing,
             "end": str(self.end.state) if self.end else None,
             "end_reason": self.end.reason if self.end else None,
+            "after_id": self.after_id,
+            "events": self.events,
             "outcome": self.outcome,
             "ms": round(self.elapsed_s * 1000, 1),
         }
--- a/src/jayvalve/internal/gateway/event_relay.py
+++ b/src/jayvalve/internal/gateway/event_relay.py
@@ -126,6 +126,7 @@
         """
         splitter = EventSplitter(event_fields=self._event_fields)
         events_before = self._events
+        answer.attempt.after_id = self._last_id
         head = answer.head
         # An engine may answer with a document instead, whose end its framing shows.
         is_document = media_type(head.headers) == JSON and head.framing.shows_end
@@ -144,6 +145,8 @@
             if isinstance(error, EventStreamError):
                 answer.attempt.end = broken_end(BodyEnd.CUT.value)
             raise BrokenStreamError(str(error)) from error
+        finally:
+            answer.attempt.events = self._events - events_before
         return BodyEnd.OPEN if self._events > events_before else BodyEnd.EMPTY
 
     async def _write(self, events: list[Event]) -> None:
--- a/src/jayvalve/internal/gateway/explain.py
+++ b/src/jayvalve/internal/gateway/explain.py
@@ -141,10 +141,19 @@
                 else ""
             )
             + f"{kind} connection: "
-            f"{attempt['outcome']} after {attempt['ms']} ms"
+            f"{attempt['outcome']} after {attempt['ms']} ms" + _stream_progress(attempt)
         )
     lines.append(
         prefix + f"known then: engines as of {request['engines_age_ms']} ms before, "
         f"store {request['store']}, {request['peers']} other gateways heard of"
     )
     return lines
+
+
+def _stream_progress(attempt: dict[str, Any]) -> str:
+    """Return what an attempt has brought of a stream, or an empty text for other answers."""
+    after_id, events = attempt.get("after_id"), attempt.get("events")
+    if after_id is None and not events:
+        return ""
+    start = "" if after_id is None else f", resumed after event {after_id}"
+    return f"{start}, {events} events"
--- a/tests/cover/test_gateway_explain.py
+++ b/tests/cover/test_gateway_explain.py
@@ -68,6 +68,20 @@
         self.assertIn("attempt 1: engine i-1 with 3 requests known there", explanation)
         self.assertNotIn("i-2", explanation)
 
+    def test_shows_which_attempts_ran_a_stream_from_its_start(self):
+        """Guards against a second run that the log does not tell from a resumption."""
+        attempt = {"engine": "i-1", "load": 0, "wait_ms": 0, "reused": True, "ms": 9.0}
+        attempts = [
+            {**attempt, "outcome": "broken", "after_id": None, "events": 2},
+            {**attempt, "outcome": "complete", "after_id": "2", "events": 4},
+            {**attempt, "outcome": "broken", "after_id": None, "events": 0},
+        ]
+        log = [json.dumps({**REQUEST, "attempts": attempts})]
+        lines = [line for line in explain_request("a1", log).lines if "attempt " in line]
+        self.assertIn("broken after 9.0 ms, 2 events", lines[0])
+        self.assertIn("complete after 9.0 ms, resumed after event 2, 4 events", lines[1])
+        self.assertTrue(lines[2].endswith("broken after 9.0 ms"))
+
     def test_a_program_id_selects_all_its_requests(self):
         log = [json.dumps({**REQUEST, "id": name}) for name in ("a1", "a2")]
         explanation = "\n".join(explain_request("p1", log).lines)
