--- /dev/null
+++ b/tests/cover/test_gateway_stream_engines.py
@@ -0,0 +1,92 @@
+"""A stream that breaks off runs on no more engines than its route allows."""
+
+import contextlib
+
+from tests.platform_support import Deployment
+from tests.scripted_engine import KILL, ScriptedEngine, success
+from tests.support import AsyncTestCase
+
+EVENTS = [f"id: {number}\ndata: part {number}\n\n" for number in range(1, 5)]
+WHOLE = "".join(EVENTS)
+
+
+def cut_stream(attempt, events):
+    """Return an answer that is longer than what is sent of it, up to within the next event."""
+    data = success(attempt, "".join(EVENTS[:events]) + "id: ", "text/event-stream")
+    return data.replace(b"Content-Length: ", b"Content-Length: 9")
+
+
+class StreamEngineTests(AsyncTestCase):
+    def play(self, events, end):
+        """Return the answer to a stream, and how often each of three engines ran it.
+
+        Args:
+            events: Number of events after which the first run breaks off.
+            end: What happens to its engine then, as in ScriptedEngine.
+
+        """
+        first = []
+
+        def script(engine_number):
+            def answer(number, attempt):
+                if not first:
+                    first.append(engine_number)
+                    return cut_stream(attempt, events), end
+                return success(attempt, "".join(EVENTS[events:]), "text/event-stream"), False
+
+            return answer
+
+        async def run():
+            async with (
+                Deployment.run(models=0, tools=0) as deployment,
+                contextlib.AsyncExitStack() as stack,
+            ):
+                engines = [
+                    await stack.enter_async_context(
+                        ScriptedEngine(script(number)).run(deployment, f"engine-{number}", "models")
+                    )
+                    for number in range(3)
+                ]
+                answer = await deployment.call("/advice/1", attempt="a", body=b"x")
+                return answer, [len(engine.requests) for engine in engines]
+
+        return self.run_async(run())
+
+    def check_one_engine(self, events, end):
+        answer, runs = self.play(events, end)
+        self.assertEqual([0, 0, 2], sorted(runs))
+        self.assertEqual((WHOLE.encode(), True), (answer.body, answer.whole))
+
+    def check_next_engine(self, events, end):
+        answer, runs = self.play(events, end)
+        self.assertEqual([0, 1, 1], sorted(runs))
+        self.assertEqual((WHOLE.encode(), True), (answer.body, answer.whole))
+
+    def test_a_stream_cut_before_its_first_event_begins_anew_at_its_engine(self):
+        """Guards against BUDGET: a second engine on a route of one."""
+        self.check_one_engine(0, "close")
+
+    def test_a_stream_reset_before_its_first_event_begins_anew_at_its_engine(self):
+        """Guards against BUDGET: a second engine after the reset of a connection."""
+        self.check_one_engine(0, "reset")
+
+    def test_a_stream_cut_after_an_event_goes_on_at_its_engine(self):
+        """Guards against BUDGET: a resumption that counts as a run at a second engine."""
+        self.check_one_engine(2, "close")
+
+    def test_a_stream_goes_on_elsewhere_when_its_engine_has_ended(self):
+        """Guards against failing streams because their engine, which has ended, is counted."""
+        for events in (0, 2):
+            self.check_next_engine(events, KILL)
+
+    def test_a_stream_goes_on_elsewhere_when_its_engine_has_gone_silent(self):
+        """Guards against failing streams whose engine was cut off from the gateway."""
+        self.check_next_engine(2, "silent")
+
+    def test_a_stream_goes_on_elsewhere_when_its_engine_has_left(self):
+        """Guards against failing streams of an engine that takes no new work and has ended."""
+        self.check_next_engine(2, "leave")
+
+    def test_a_stream_goes_on_elsewhere_when_another_engine_has_the_address(self):
+        """Guards against failing streams whose engine has ended, though its address answers."""
+        self.check_next_engine(2, "replace")
