Resume a broken stream at the engine that ran it while that engine lives

What the customer saw: four requests ran at two engines each on a route of one attempt (BUDGET).

Cause: AttemptHistory left out the engines of streams that broke off after the head, so that any engine could go on with a stream, however many the route allows. The record does not tell whether its stream had brought an event, and both cases are in the code.

Change: engines of broken streams count. When the limit is reached, the stream begins anew or goes on at the engine that ran it, on a new connection. If that engine refuses connections, does not answer, closes them at once, or has been replaced, it has ended or is cut off and counts no longer, so that another one may go on. An engine that only announces that it leaves counts.

The decisions are in run_limit. The drawn test of whole answers checks the framing of resumptions at a second engine; it now runs on a route that allows two, so that its check is as strict as before. The case of one engine that leaves and serves on has a test of its own.

--- a/src/jayvalve/internal/gateway/calls.py
+++ b/src/jayvalve/internal/gateway/calls.py
@@ -139,8 +139,8 @@
     """Attempts that were made for a call so far.
 
     Attributes:
-        may_have_run: Engines at which the call may have run. An engine whose stream breaks off
-            after the head is not added, so the stream can be resumed at any engine.
+        may_have_run: Engines at which the call may have run.
+        ended: Those of them that have ended or cannot be reached since.
         refused: Engines that did not run the call because they refused it or were unreachable.
         runs: Records of the attempts as long as engines may run them.
 
@@ -148,9 +148,15 @@
 
     attempts: list[AttemptRecord] = attrs.field(factory=list)
     may_have_run: set[EngineKey] = attrs.field(factory=set)
+    ended: set[EngineKey] = attrs.field(factory=set)
     refused: set[EngineKey] = attrs.field(factory=set)
     runs: list[EngineRun] = attrs.field(factory=list)
 
+    @property
+    def counted_engines(self) -> int:
+        """Number of engines that count towards the limit of the route."""
+        return len(self.may_have_run - self.ended)
+
     @property
     def any_may_have_run(self) -> bool:
         """Whether any engine may have run the call, also one that answered it."""
--- a/src/jayvalve/internal/gateway/directory.py
+++ b/src/jayvalve/internal/gateway/directory.py
@@ -193,6 +193,14 @@
         """Return whether an engine that was chosen before still accepts new requests."""
         return self._views.get(view.key.id) is view and self._takes_new_work(view)
 
+    def is_replaced(self, view: EngineView) -> bool:
+        """Return whether another incarnation of an engine, or another engine, has its place."""
+        return any(
+            other.key != view.key
+            and (other.key.id == view.key.id or other.record.address == view.record.address)
+            for other in self._views.values()
+        )
+
     def is_avoided(self, view: EngineView) -> bool:
         """Return whether an engine is used only if there is no other."""
         return self._clock.now() < view.backoff_until_s or self._departures.is_rumoured(view.key)
--- a/src/jayvalve/internal/gateway/engine_choice.py
+++ b/src/jayvalve/internal/gateway/engine_choice.py
@@ -28,6 +28,7 @@
     PrefixMemory,
     choose_engine,
 )
+from jayvalve.internal.gateway.run_limit import eligible_engines
 from jayvalve.internal.timing import Clock
 
 __all__ = ["ChoiceSettings", "ChosenEngine", "EngineChooser", "no_attempt_error"]
@@ -180,8 +181,8 @@
         engines = self._directory.candidates(call.service.name)
         self._guard.note_capacity(call.service.name, len(engines))
         views = {view.key: view for view in engines if view.key not in history.refused}
-        untried = {key: view for key, view in views.items() if key not in history.may_have_run}
-        candidates = [self._candidate(view, call, now) for view in (untried or views).values()]
+        eligible = eligible_engines(views, call, history)
+        candidates = [self._candidate(view, call, now) for view in eligible.values()]
         candidates = self._drop_limited(candidates, views, call, history)
         need = PlacementNeed(
             call.info.prompt_tokens, call.info.max_output_tokens, call.route.repeatable
--- a/src/jayvalve/internal/gateway/sender.py
+++ b/src/jayvalve/internal/gateway/sender.py
@@ -42,6 +42,7 @@
 from jayvalve.internal.gateway.in_hand import EngineRun
 from jayvalve.internal.gateway.loads import PeerLoads
 from jayvalve.internal.gateway.priority import request_priority
+from jayvalve.internal.gateway.run_limit import RunLimit
 from jayvalve.internal.gateway.survival import SurvivalChecks, SurvivalWatch
 from jayvalve.internal.timing import Clock
 
@@ -116,6 +117,7 @@
         self._on_load_change = parts.on_load_change
         self._settings = SenderSettings()
         self._survival = SurvivalChecks.from_config(parts.pool, parts.codec, clock)
+        self._run_limit = RunLimit(parts.directory, guard, parts.pool)
 
     @classmethod
     def from_config(
@@ -257,6 +259,11 @@
         if answer.trial is not None:
             self._guard.end(answer.trial, answer.run)
 
+    async def record_broken_stream(self, answer: EngineAnswer, history: AttemptHistory) -> None:
+        """Record that a stream broke off, before the next attempt resumes it."""
+        self.record_broken(answer)
+        await self._run_limit.record_broken_stream(answer.call, answer.view, history)
+
     def record_broken(self, answer: EngineAnswer) -> None:
         """Record that an engine's answer broke off."""
         if answer.attempt.end is None:
@@ -327,10 +334,10 @@
                 self._guard.record_refused(view)
             self._directory.record_failure(view)
             history.refused.add(view.key)
+            self._run_limit.record_gone(view, history)
         except (BrokenConnectionError, TimeoutError) as error:
             self._record_lost(run, view, attempt, started_s, error)
-            history.may_have_run.add(view.key)
-            self._check_retry(call, history, error)
+            await self._run_limit.record_lost(call, view, history, error)
         finally:
             attempt.elapsed_s = self._clock.now() - started_s
             if answer is None:
@@ -351,10 +358,12 @@
     ) -> tuple[Exchange, ResponseHead, SurvivalWatch | None]:
         """Send a request and return its exchange, the head of the answer and a watch it needs."""
         with contextlib.ExitStack() as stack:
-            watch = self._survival.prepare(call, view, self._is_last_run(call, history))
+            watch = self._survival.prepare(call, view, self._run_limit.is_last_run(call, history))
             if watch is not None:
                 stack.callback(watch.close)
-            exchange = await self._pool.send(request, self._answer_check(call))
+            # An idle connection may be as dead as the one whose stream broke off.
+            max_idle_s = 0.0 if view.key in history.may_have_run else None
+            exchange = await self._pool.send(request, self._answer_check(call), max_idle_s)
             stack.callback(exchange.abort)
             attempt.reused = exchange.reused
             async with asyncio.timeout(self._head_timeout_s(call, view, history)):
@@ -373,6 +382,9 @@
     ) -> None:
         attempt.outcome = f"refused {head.status}"
         history.refused.add(view.key)
+        if head.status == HTTPStatus.MISDIRECTED_REQUEST:
+            # Another engine has the address now.
+            self._run_limit.record_gone(view, history)
         if attempt.load < view.record.slots:
             # An engine that refuses a call although it has free slots is failing, not full.
             self._health.record(view.key.label, failed=True)
@@ -399,7 +411,7 @@
     def _learn_state(self, view: EngineView, head: ResponseHead) -> None:
         """Learn what an engine says of itself in an answer."""
         if head.status == HTTPStatus.MISDIRECTED_REQUEST:
-            # Another engine has the address now.
+            # The answer is that of another engine.
             return
         if self._codec.says_leaving(head.headers):
             self._departures.record(view.key)
@@ -440,30 +452,16 @@
         # Other kept-alive connections to the engine may be broken as well.
         self._pool.discard(view.record.address)
 
-    def _check_retry(self, call: Call, history: AttemptHistory, error: Exception) -> None:
-        if call.deadline.expired:
-            raise DeadlineExceededError("the engine did not answer in time") from error
-        if not call.route.repeatable:
-            raise EndpointFailedError(f"the engine may have run the call: {error}") from error
-        if len(history.may_have_run) >= call.route.max_attempts:
-            raise EndpointFailedError(f"the last attempt failed: {error}") from error
-
     @staticmethod
     def _raise_expired(history: AttemptHistory) -> None:
         if history.may_have_run:
             raise DeadlineExceededError("the time limit passed before another attempt")
         raise DeadlineUnreachableError("the time limit passed before an engine accepted the call")
 
-    @staticmethod
-    def _is_last_run(call: Call, history: AttemptHistory) -> bool:
-        """Return whether no other engine may run the call after the next one that may have."""
-        possible_runs = len(history.may_have_run) + 1
-        return not call.route.repeatable or possible_runs >= call.route.max_attempts
-
     def _head_timeout_s(self, call: Call, view: EngineView, history: AttemptHistory) -> float:
         """Return how long to wait for the head of an engine's answer, in seconds."""
         remaining_s = call.deadline.remaining_s
-        if self._is_last_run(call, history):
+        if self._run_limit.is_last_run(call, history):
             return remaining_s
         service_timeout_s = (view.service_s or 0.0) * self._settings.head_timeout_service_factor
         return min(
--- a/src/jayvalve/internal/gateway/service.py
+++ b/src/jayvalve/internal/gateway/service.py
@@ -348,7 +348,7 @@
     async def _relay_stream(
         self, call: Call, responder: Responder, progress: RequestProgress
     ) -> None:
-        """Relay a stream; if a resumable one breaks off, resume it at any engine."""
+        """Relay a stream; if a resumable one breaks off, resume it."""
         with self._buffers.open() as share:
             relay = EventRelay.from_call(call, responder, share, self._codec.event_fields)
             try:
@@ -383,11 +383,12 @@
                     progress.status, progress.outcome = answer.head.status, "answered"
                     return
             except (BrokenStreamError, BrokenConnectionError) as error:
-                self._sender.record_broken(answer)
                 resumptions += 1
                 resumable = call.route.resumable and relay.can_resume
                 if not resumable or resumptions > MAX_RESUMPTIONS:
+                    self._sender.record_broken(answer)
                     raise EndpointFailedError(f"the stream broke off: {error}") from error
+                await self._sender.record_broken_stream(answer, progress.history)
             except TimeoutError as error:
                 raise DeadlineExceededError(
                     "the stream was not complete within the time limit"
--- a/tests/cover/test_gateway_drawn_answers.py
+++ b/tests/cover/test_gateway_drawn_answers.py
@@ -22,8 +22,9 @@
 EXAMPLES = int(os.environ.get("EXAMPLES", "60"))
 RESUMABLE = "/advice/"
 TIMEOUT_S = 20.0
-# A stream can be resumed at another engine while the first one is gone.
+# A stream can be resumed at another engine, also while the first one serves on.
 ENGINES = {"models": 2, "tools": 1}
+STREAM_ATTEMPTS = 2
 
 
 class DrawnEngine(ScriptedEngine):
@@ -45,7 +46,9 @@
 
     def __enter__(self):
         self._deployment = self._run(
-            self._stack.enter_async_context(Deployment.run(models=0, tools=0))
+            self._stack.enter_async_context(
+                Deployment.run(models=0, tools=0, stream_attempts=STREAM_ATTEMPTS)
+            )
         )
         return self
 
--- a/tests/cover/test_gateway_stream_engines.py
+++ b/tests/cover/test_gateway_stream_engines.py
@@ -74,6 +74,12 @@
         """Guards against BUDGET: a resumption that counts as a run at a second engine."""
         self.check_one_engine(2, "close")
 
+    def test_a_stream_of_a_leaving_engine_that_serves_on_gets_no_second_engine(self):
+        """Guards against BUDGET: a departure that is taken for the end of the engine."""
+        answer, runs = self.play(2, "serve")
+        self.assertEqual([0, 0, 1], sorted(runs))
+        self.assertEqual(("".join(EVENTS[:2]).encode(), False), (answer.body, answer.whole))
+
     def test_a_stream_goes_on_elsewhere_when_its_engine_has_ended(self):
         """Guards against failing streams because their engine, which has ended, is counted."""
         for events in (0, 2):
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -132,7 +132,12 @@
     @classmethod
     @contextlib.asynccontextmanager
     async def run(
-        cls, gateways: int = 1, models: int = 1, tools: int = 1, log_folder: str | None = None
+        cls,
+        gateways: int = 1,
+        models: int = 1,
+        tools: int = 1,
+        log_folder: str | None = None,
+        stream_attempts: int = 1,
     ) -> AsyncIterator["Deployment"]:
         """Start a deployment, wait until it is ready, and stop it at the end.
 
@@ -141,13 +146,18 @@
             models: Number of engines of the service "models", which stream their answers.
             tools: Number of engines of the service "tools", which do not stream.
             log_folder: Folder for the gateways' logs, or None to drop them.
+            stream_attempts: Number of engines that may run a resumable stream.
 
         """
         store = PlatformStore(PlatformStoreSettings(parts=2))
         deployment = cls(store, await store.start(), log_folder=log_folder)
         async with deployment._stack as stack:
             stack.push_async_callback(store.stop)
-            store.put("keyed.op", "config", configuration())
+            document = configuration()
+            for route in document["routes"]:
+                if route.get("resumable"):
+                    route["max_attempts"] = stream_attempts
+            store.put("keyed.op", "config", document)
             for number in range(models):
                 await deployment.add_engine(f"model-{number}", "models", streaming=True)
             for number in range(tools):
