Count an engine as cut off only after two attempts to connect time out

Change: the first timeout to an engine that has run the stream is repeated; a refusal counts at once, as before. An engine that has not run the call is passed over after one timeout, as before.

--- a/src/jayvalve/internal/gateway/calls.py
+++ b/src/jayvalve/internal/gateway/calls.py
@@ -141,6 +141,7 @@
     Attributes:
         may_have_run: Engines at which the call may have run.
         ended: Those of them that have ended or cannot be reached since.
+        unreached: Those of them to which one later attempt to connect has timed out.
         refused: Engines that did not run the call because they refused it or were unreachable.
         runs: Records of the attempts as long as engines may run them.
 
@@ -149,6 +150,7 @@
     attempts: list[AttemptRecord] = attrs.field(factory=list)
     may_have_run: set[EngineKey] = attrs.field(factory=set)
     ended: set[EngineKey] = attrs.field(factory=set)
+    unreached: set[EngineKey] = attrs.field(factory=set)
     refused: set[EngineKey] = attrs.field(factory=set)
     runs: list[EngineRun] = attrs.field(factory=list)
 
--- a/src/jayvalve/internal/gateway/run_limit.py
+++ b/src/jayvalve/internal/gateway/run_limit.py
@@ -7,7 +7,11 @@
 from jayvalve.internal.gateway.crash_guard import CrashGuard
 from jayvalve.internal.gateway.directory import EngineDirectory, EngineView
 from jayvalve.internal.gateway.engine_probe import is_down
-from jayvalve.internal.gateway.http_client import BrokenConnectionError, HttpPool
+from jayvalve.internal.gateway.http_client import (
+    BrokenConnectionError,
+    HttpPool,
+    NotSentError,
+)
 from jayvalve.internal.gateway.model import EngineKey
 
 __all__ = ["RunLimit", "eligible_engines"]
@@ -94,8 +98,23 @@
             history.ended.add(view.key)
 
     @staticmethod
-    def record_gone(view: EngineView, history: AttemptHistory) -> None:
-        """Record that an engine cannot be reached, or that another one has its address."""
+    def record_not_sent(view: EngineView, history: AttemptHistory, error: NotSentError) -> None:
+        """Record that no connection to an engine could be made.
+
+        A link that loses packets also loses attempts to connect. An engine of an earlier run
+        therefore counts as cut off only after the second attempt that times out.
+        """
+        key = view.key
+        if key in history.may_have_run:
+            if not error.is_refusal and key not in history.unreached:
+                history.unreached.add(key)
+                return
+            history.ended.add(key)
+        history.refused.add(key)
+
+    @staticmethod
+    def record_replaced(view: EngineView, history: AttemptHistory) -> None:
+        """Record that another engine has answered at the address of an engine."""
         if view.key in history.may_have_run:
             history.ended.add(view.key)
 
--- a/src/jayvalve/internal/gateway/sender.py
+++ b/src/jayvalve/internal/gateway/sender.py
@@ -333,8 +333,7 @@
             if error.is_refusal:
                 self._guard.record_refused(view)
             self._directory.record_failure(view)
-            history.refused.add(view.key)
-            self._run_limit.record_gone(view, history)
+            self._run_limit.record_not_sent(view, history, error)
         except (BrokenConnectionError, TimeoutError) as error:
             self._record_lost(run, view, attempt, started_s, error)
             await self._run_limit.record_lost(call, view, history, error)
@@ -384,7 +383,7 @@
         history.refused.add(view.key)
         if head.status == HTTPStatus.MISDIRECTED_REQUEST:
             # Another engine has the address now.
-            self._run_limit.record_gone(view, history)
+            self._run_limit.record_replaced(view, history)
         if attempt.load < view.record.slots:
             # An engine that refuses a call although it has free slots is failing, not full.
             self._health.record(view.key.label, failed=True)
--- a/tests/cover/test_gateway_stream_engines.py
+++ b/tests/cover/test_gateway_stream_engines.py
@@ -2,6 +2,13 @@
 
 import contextlib
 
+from testtools import TestCase
+
+from jayvalve.internal.gateway.calls import AttemptHistory
+from jayvalve.internal.gateway.directory import EngineView
+from jayvalve.internal.gateway.http_client import NotSentError
+from jayvalve.internal.gateway.model import EngineKey, EngineRecord, EngineState
+from jayvalve.internal.gateway.run_limit import RunLimit
 from tests.platform_support import Deployment
 from tests.scripted_engine import KILL, ScriptedEngine, success
 from tests.support import AsyncTestCase
@@ -96,3 +103,34 @@
     def test_a_stream_goes_on_elsewhere_when_another_engine_has_the_address(self):
         """Guards against failing streams whose engine has ended, though its address answers."""
         self.check_next_engine(2, "replace")
+
+
+def refusal():
+    error = NotSentError("refused")
+    error.__cause__ = ConnectionRefusedError()
+    return error
+
+
+class UnreachableEngineTests(TestCase):
+    def history_after(self, *errors, has_run=True):
+        """Return the history of a call after failed attempts to connect to one engine."""
+        key = EngineKey("e", 1)
+        record = EngineRecord(key, "models", ("10.0.0.1", 80), "zone", 8, EngineState.READY)
+        history = AttemptHistory(may_have_run={key} if has_run else set())
+        for error in errors:
+            RunLimit.record_not_sent(EngineView(record), history, error)
+        return history.counted_engines, len(history.refused)
+
+    def test_one_lost_attempt_to_connect_does_not_end_an_engine(self):
+        """Guards against BUDGET: a second engine because a link lost one packet."""
+        self.assertEqual((1, 0), self.history_after(NotSentError("timeout")))
+
+    def test_an_engine_that_stays_out_of_reach_counts_no_longer(self):
+        """Guards against failing streams whose engine was cut off, or refuses connections."""
+        timeout = NotSentError("timeout")
+        self.assertEqual((0, 1), self.history_after(timeout, timeout))
+        self.assertEqual((0, 1), self.history_after(refusal()))
+
+    def test_an_engine_that_has_not_run_the_call_is_passed_over_at_once(self):
+        """Guards against two timeouts before the first run of a call."""
+        self.assertEqual((0, 1), self.history_after(NotSentError("timeout"), has_run=False))
