Log what a request resumes and the versions of its engines

Requests now have resumes, attempts have version, jayvalve explain prints both. The version of an engine's entry is kept in its record.

--- a/src/jayvalve/internal/gateway/calls.py
+++ b/src/jayvalve/internal/gateway/calls.py
@@ -83,6 +83,7 @@
 
     Attributes:
         engine: Id of the engine.
+        version: Version of its software.
         load: Number of requests that were known to be at the engine before the attempt.
         cached: Number of prompt tokens that are expected in the engine's cache.
         wait_s: Expected wait in the engine's queue, in seconds.
@@ -104,6 +105,7 @@
     cached: int
     wait_s: float
     permit_s: float | None = None
+    version: str = ""
     reused: bool = False
     on_trial: bool = False
     framing: str | None = None
@@ -118,6 +120,7 @@
         """Return the attempt as an entry of the request's log line."""
         return {
             "engine": self.engine,
+            "version": self.version,
             "load": self.load,
             "cached": self.cached,
             "wait_ms": round(self.wait_s * 1000),
--- a/src/jayvalve/internal/gateway/explain.py
+++ b/src/jayvalve/internal/gateway/explain.py
@@ -113,6 +113,7 @@
         prefix
         + f"request {request['id']} of program {request['program']}"
         + (f" of organisation {request['organisation']}" if request.get("organisation") else "")
+        + (f", resuming {request['resumes']}," if request.get("resumes") else "")
         + f" on route "
         f"{request['route'] or request['path']}, configuration {request['configuration']}: "
         f"{request['outcome']}, status {request['status']}, {request['ms']} ms"
@@ -133,7 +134,9 @@
         kind = "kept" if attempt["reused"] else "new"
         lines.append(
             prefix
-            + f"attempt {number}: engine {attempt['engine']} with {attempt['load']} requests "
+            + f"attempt {number}: engine {attempt['engine']}"
+            + (f" of version {attempt['version']}" if attempt.get("version") else "")
+            + f" with {attempt['load']} requests "
             f"known there, expected wait {attempt['wait_ms']} ms, "
             + (
                 f"waited {attempt['permit_ms']} ms for a permit of the limited engine, "
--- a/src/jayvalve/internal/gateway/model.py
+++ b/src/jayvalve/internal/gateway/model.py
@@ -57,6 +57,7 @@
         address: IP address and port.
         slots: Number of requests that the engine processes at the same time.
         warm_up_s: How long the engine is slow after its start, in seconds.
+        version: Version of the engine's software. What two versions generate does not fit together.
 
     """
 
@@ -67,6 +68,7 @@
     slots: int
     state: EngineState
     warm_up_s: float = 0.0
+    version: str = ""
 
 
 @attrs.frozen
@@ -212,6 +214,8 @@
         max_output_tokens: Maximum number of tokens that the turn generates.
         prefix: Parts of the prompt, each with its id and its number of tokens.
         previous_turn: Attempt id of the turn that this one continues, or None.
+        resumed_attempt: Id of the attempt that brought the first event of a stream which this one
+            resumes, or None.
 
     """
 
@@ -224,3 +228,4 @@
     max_output_tokens: int = 0
     prefix: tuple[tuple[str, int], ...] = ()
     previous_turn: str | None = None
+    resumed_attempt: str | None = None
--- a/src/jayvalve/internal/gateway/sender.py
+++ b/src/jayvalve/internal/gateway/sender.py
@@ -286,6 +286,7 @@
             chosen.placement.candidate.cached_tokens,
             chosen.placement.wait_s,
             chosen.permit_s,
+            version=chosen.view.record.version,
             on_trial=on_trial,
         )
         history.attempts.append(attempt)
--- a/src/jayvalve/internal/gateway/service.py
+++ b/src/jayvalve/internal/gateway/service.py
@@ -475,6 +475,7 @@
             id=info.attempt_id if info else None,
             program=info.program if info else None,
             previous=info.previous_turn if info else None,
+            resumes=info.resumed_attempt if info else None,
             route=progress.route.name if progress.route else None,
             organisation=progress.organisation.name if progress.organisation else None,
             path=None if progress.route else request.target[:80],
--- a/src/jayvalve/platform/headers.py
+++ b/src/jayvalve/platform/headers.py
@@ -48,6 +48,7 @@
             max_output_tokens=output_tokens,
             prefix=_parse_prefix(headers.get(names.PREFIX)),
             previous_turn=headers.get(names.PREVIOUS_TURN),
+            resumed_attempt=headers.get(names.RESUMES),
         )
 
     def credentials(self, headers: HTTPHeaders) -> list[str]:
--- a/src/jayvalve/platform/names.py
+++ b/src/jayvalve/platform/names.py
@@ -21,6 +21,7 @@
     "PROGRAM_ID",
     "READINESS_PATH",
     "READ_PATH",
+    "RESUMES",
     "REQUEST_PRIORITY",
     "SERVER_LEAVING",
     "SERVER_LIMIT",
@@ -50,6 +51,8 @@
 PREVIOUS_TURN: Final = "X-Jayvalve-Previous-Turn"
 REQUEST_PRIORITY: Final = "X-Jayvalve-Request-Priority"
 LAST_EVENT_ID: Final = "Last-Event-Id"
+# The attempt that brought the first event of the stream, not the one that broke off last.
+RESUMES: Final = "Resumes"
 AUTHORIZATION: Final = "Authorization"
 TENANT: Final = "X-Jayvalve-Tenant"
 
--- a/src/jayvalve/platform/records.py
+++ b/src/jayvalve/platform/records.py
@@ -40,7 +40,6 @@
         slots = _require_count(entry["slots"])
         if slots < 1:
             return None
-        _require_text(entry["version"])
         _require_count(entry["sequence"])
         return EngineRecord(
             key=EngineKey(engine_id, _require_count(entry.get("born", 0))),
@@ -50,6 +49,7 @@
             slots=slots,
             state=EngineState(entry["state"]),
             warm_up_s=_require_duration(entry["cold_remaining_ms"]) / MS_PER_S,
+            version=_require_text(entry["version"]),
         )
     except MALFORMED_ERRORS:
         return None
