--- a/tests/cover/test_gateway_quota_changes.py
+++ b/tests/cover/test_gateway_quota_changes.py
@@ -133,7 +133,7 @@
                     async def reserve(call, wait_s=wait_s):
                         await asyncio.sleep(wait_s)
 
-                    gateway._reserve = reserve
+                    gateway._streams._reserve = reserve
                     headers = {"Authorization": "Bearer k1"}
                     answer = await deployment.call(
                         "/advice/x", attempt=f"a-{wait_s}", body=b"hello", headers=headers
