--- a/tests/cover/test_gateway_stream_engines.py
+++ b/tests/cover/test_gateway_stream_engines.py
@@ -10,19 +10,12 @@
 from jayvalve.internal.gateway.model import EngineKey, EngineRecord, EngineState
 from jayvalve.internal.gateway.run_limit import RunLimit
 from tests.platform_support import Deployment
-from tests.scripted_engine import KILL, ScriptedEngine, success
+from tests.scripted_engine import EVENTS, KILL, ScriptedEngine, cut_stream, success
 from tests.support import AsyncTestCase
 
-EVENTS = [f"id: {number}\ndata: part {number}\n\n" for number in range(1, 5)]
 WHOLE = "".join(EVENTS)
 
 
-def cut_stream(attempt, events):
-    """Return an answer that is longer than what is sent of it, up to within the next event."""
-    data = success(attempt, "".join(EVENTS[:events]) + "id: ", "text/event-stream")
-    return data.replace(b"Content-Length: ", b"Content-Length: 9")
-
-
 class StreamEngineTests(AsyncTestCase):
     def play(self, events, end):
         """Return the answer to a stream, and how often each of three engines ran it.
--- a/tests/scripted_engine.py
+++ b/tests/scripted_engine.py
@@ -9,7 +9,16 @@
 from jayvalve.internal.gateway.model import EngineState
 from tests.ports import HOST, free_port
 
-__all__ = ["ENDS", "HOLD_S", "KILL", "STAYS", "ScriptedEngine", "success"]
+__all__ = [
+    "ENDS",
+    "EVENTS",
+    "HOLD_S",
+    "KILL",
+    "STAYS",
+    "ScriptedEngine",
+    "cut_stream",
+    "success",
+]
 
 KILL = "kill"
 # How an engine can be gone after an answer: "leave" announces it before, "silent" neither takes nor
@@ -22,6 +31,8 @@
 # address: health checks of gateways, and the control requests and pings of sidecars.
 CHECKS = ("GET /health ", "GET /load ", "GET /kv/", "OPTIONS * ")
 HOLD_S = 0.3
+# The events of a whole stream.
+EVENTS = [f"id: {number}\ndata: part {number}\n\n" for number in range(1, 5)]
 MISDIRECTED = b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -33,6 +44,7 @@
             write, and whether the connection is closed after them, or one of ENDS or STAYS.
 
     Attributes:
+        version: Version of the software in the engine's entry.
         delays_bodies: Whether no body comes with its head.
         stream_delay_s: Time between the head and the events of a stream, in seconds.
         idle_s: Time after which idle connections are closed, in seconds, or None.
@@ -41,6 +53,7 @@
 
     """
 
+    version = "v1"
     delays_bodies = False
     stream_delay_s = 0.02
     idle_s = None
@@ -65,8 +78,8 @@
         self.name, self._deployment = name, deployment
         await self.listen()
         self._entry = {"service": service, "address": f"{HOST}:{self._port}", "zone": "zone-a"}
-        self._entry |= {"version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0}
-        self._entry |= {"sequence": 1, "born": 1}
+        self._entry |= {"version": self.version, "slots": 8, "state": "ready"}
+        self._entry |= {"cold_remaining_ms": 0, "sequence": 1, "born": 1}
         deployment.store.put("keyed.servers", name, self._entry)
         await self._wait_known(EngineState.READY)
         try:
@@ -214,3 +227,9 @@
         f"HTTP/1.1 200 OK\r\nX-Jayvalve-Attempt-Id: {attempt}\r\nX-Jayvalve-Server-Signature: s\r\n"
         f"Content-Type: {content_type}\r\n{length}\r\n{body}"
     ).encode()
+
+
+def cut_stream(attempt, events):
+    """Return an answer that is longer than what is sent of it, up to within the next event."""
+    data = success(attempt, "".join(EVENTS[:events]) + "id: ", "text/event-stream")
+    return data.replace(b"Content-Length: ", b"Content-Length: 9")
