Resume streams only at the software version that began them

Cause: nothing bound a stream to a version. A gateway that resumed one, for a caller or within its own answer, took any engine of the service; neither the version in the engines' entries nor Resumes was used.

Change: the gateway that passes on the first event of a resumable stream tells its service and version to two homes of the stream and writes them to the store. A gateway that resumes a stream looks in its memory, at the homes and in the newest records of the store, and chooses among the engines of that version.

A take-up without Resumes is answered 400, since nothing else names the stream.

--- a/src/jayvalve/errors.py
+++ b/src/jayvalve/errors.py
@@ -48,6 +48,7 @@
     "ServiceUnknownError",
     "SettleRefusedError",
     "StaleTermError",
+    "StreamUnknownError",
     "TurnUnknownError",
     "UnauthorizedError",
     "UnavailableError",
@@ -353,6 +354,14 @@
     code = "request_blocked"
 
 
+class StreamUnknownError(UnavailableError):
+    """It is not known which version of an engine's software began the stream to resume."""
+
+    code = "stream_unknown"
+    # A record that is still being written is there by then.
+    default_retry_after_s = 0.3
+
+
 class DeadlineUnreachableError(UnavailableError):
     """The queue is too long for the call's deadline."""
 
--- a/src/jayvalve/internal/gateway/calls.py
+++ b/src/jayvalve/internal/gateway/calls.py
@@ -9,6 +9,7 @@
 from jayvalve.internal.answer_end import AnswerEnd
 from jayvalve.internal.gateway.in_hand import EngineRun
 from jayvalve.internal.gateway.model import EngineKey, RequestInfo, Route, ServiceSpec
+from jayvalve.internal.gateway.origin_table import StreamOrigin
 from jayvalve.internal.http_framing import Framing
 from jayvalve.internal.organisations import Organisation, scoped_id
 from jayvalve.internal.timing import Deadline
@@ -53,6 +54,7 @@
             route's time limit, less a margin for sending the answer.
         organisation: Organisation whose key the request carries, or None.
         anonymous: Whether the configuration has organisations and the request is of none.
+        origin: What began the stream that the call resumes, or None.
 
     """
 
@@ -64,6 +66,7 @@
     body: bytes
     organisation: Organisation | None = None
     anonymous: bool = False
+    origin: StreamOrigin | None = None
 
     @property
     def rank(self) -> int:
--- a/src/jayvalve/internal/gateway/engine_choice.py
+++ b/src/jayvalve/internal/gateway/engine_choice.py
@@ -19,6 +19,7 @@
 from jayvalve.internal.gateway.health import HealthTracker
 from jayvalve.internal.gateway.loads import PeerLoads
 from jayvalve.internal.gateway.model import EngineKey
+from jayvalve.internal.gateway.origin_table import StreamOrigin
 from jayvalve.internal.gateway.permits import SendPermits
 from jayvalve.internal.gateway.placement import (
     Candidate,
@@ -72,12 +73,15 @@
     permit_s: float | None
 
 
-def no_attempt_error(history: AttemptHistory, leaving: bool = False) -> JayvalveError:
+def no_attempt_error(
+    history: AttemptHistory, leaving: bool = False, origin: StreamOrigin | None = None
+) -> JayvalveError:
     """Return the error of a call for which no further attempt can be made.
 
     Args:
         history: Attempts of the call so far.
         leaving: Whether all engines of the service are leaving.
+        origin: What began the stream that the call resumes, or None.
 
     """
     if history.may_have_run:
@@ -89,6 +93,11 @@
             "each engine that was tried refused the call or could not be reached",
             retry_after_s=0.15,
         )
+    if origin is not None:
+        return NoEndpointError(
+            f"no engine of version {origin.version} accepts requests, which began the stream",
+            retry_after_s=0.3,
+        )
     if leaving:
         return NoEndpointError(
             "all engines of the service are leaving", retry_after_s=_LEAVING_RETRY_AFTER_S
@@ -180,7 +189,11 @@
         now = self._clock.now()
         engines = self._directory.candidates(call.service.name)
         self._guard.note_capacity(call.service.name, len(engines))
-        views = {view.key: view for view in engines if view.key not in history.refused}
+        views = {
+            view.key: view
+            for view in engines
+            if view.key not in history.refused and self._may_resume(view, call.origin)
+        }
         eligible = eligible_engines(views, call, history)
         candidates = [self._candidate(view, call, now) for view in eligible.values()]
         candidates = self._drop_limited(candidates, views, call, history)
@@ -189,7 +202,8 @@
         )
         placement = choose_engine(candidates, need, self._placement, self._rng)
         if placement is None:
-            raise no_attempt_error(history, self._directory.all_leave(call.service.name))
+            leaving = self._directory.all_leave(call.service.name)
+            raise no_attempt_error(history, leaving, call.origin)
         if placement.wait_s >= call.deadline.remaining_s and not history.may_have_run:
             raise DeadlineUnreachableError(
                 f"expected wait {placement.wait_s:.2f} s exceeds the time left",
@@ -197,6 +211,13 @@
             )
         return views[placement.candidate.key], placement
 
+    def _may_resume(self, view: EngineView, origin: StreamOrigin | None) -> bool:
+        """Return whether an engine can go on with a stream that something has begun."""
+        if origin is None:
+            return True
+        # An engine that has ended may be back under its id with other software.
+        return view.record.version == origin.version and not self._guard.has_ended(view.key)
+
     def _drop_limited(
         self,
         candidates: list[Candidate],
--- a/src/jayvalve/internal/gateway/event_relay.py
+++ b/src/jayvalve/internal/gateway/event_relay.py
@@ -1,5 +1,6 @@
 """Relays event streams of engines to a caller, within limits for what an engine may send."""
 
+from collections.abc import Callable
 from typing import Self
 
 import attrs
@@ -65,6 +66,8 @@
         share: Memory for an event that is not complete yet and for the output of a kept turn.
         last_id: Id of the event after which the caller resumes the stream, or None.
         event_fields: Names of fields that events may have besides those of the standard.
+        on_begin: Called with the engine's answer before its first event is passed on, if no event
+            was before.
 
     """
 
@@ -75,7 +78,10 @@
         limits: RelayLimits,
         last_id: str | None = None,
         event_fields: frozenset[str] = frozenset(),
+        on_begin: Callable[[EngineAnswer], None] = lambda _: None,
     ) -> None:
+        self._on_begin = on_begin
+        self._begun = last_id is not None
         self._responder = responder
         self._share = share
         self._limits = limits
@@ -92,10 +98,12 @@
         responder: Responder,
         share: BufferShare,
         event_fields: frozenset[str] = frozenset(),
+        on_begin: Callable[[EngineAnswer], None] = lambda _: None,
     ) -> Self:
         """Create the relay of a call."""
         last_id = call.request.headers.get(LAST_EVENT_ID) if call.route.resumable else None
-        return cls(responder, share, RelayLimits.from_call(call), last_id, event_fields)
+        limits = RelayLimits.from_call(call)
+        return cls(responder, share, limits, last_id, event_fields, on_begin)
 
     @property
     def events(self) -> int:
@@ -136,9 +144,9 @@
                     await self._responder.write(chunk)
                 return BodyEnd.OPEN
             async for chunk in answer.exchange.chunks():
-                await self._write(splitter.feed(chunk))
+                await self._write(splitter.feed(chunk), answer)
                 self._check_memory(splitter.held_bytes)
-            await self._write(splitter.finish())
+            await self._write(splitter.finish(), answer)
             if splitter.remainder:
                 await self._responder.write(splitter.remainder)
         except (BrokenConnectionError, EventStreamError) as error:
@@ -149,7 +157,7 @@
             answer.attempt.events = self._events - events_before
         return BodyEnd.OPEN if self._events > events_before else BodyEnd.EMPTY
 
-    async def _write(self, events: list[Event]) -> None:
+    async def _write(self, events: list[Event], answer: EngineAnswer) -> None:
         if not events:
             return
         accepted: list[Event] = []
@@ -163,6 +171,9 @@
             accepted.append(event)
         # A resumption continues after the last accepted event, so the caller must get all of them.
         if accepted:
+            if not self._begun:
+                self._begun = True
+                self._on_begin(answer)
             await self._responder.write(b"".join(event.raw for event in accepted))
         if error is not None:
             raise error
--- a/src/jayvalve/internal/gateway/model.py
+++ b/src/jayvalve/internal/gateway/model.py
@@ -142,6 +142,10 @@
         """Whether a request that may have run may be sent again."""
         return self.kind is RouteKind.IDEMPOTENT
 
+    def leads_to(self, service: str) -> bool:
+        """Return whether requests may go to a service."""
+        return any(name == service and weight > 0.0 for name, weight in self.services)
+
     def choose_service(self, rng: random.Random) -> str:
         """Return the name of a service, drawn by the weights."""
         if len(self.services) == 1:
--- a/src/jayvalve/internal/gateway/request_progress.py
+++ b/src/jayvalve/internal/gateway/request_progress.py
@@ -4,6 +4,7 @@
 
 from jayvalve.internal.gateway.calls import AttemptHistory
 from jayvalve.internal.gateway.model import RequestInfo, Route
+from jayvalve.internal.gateway.origin_table import StreamOrigin
 from jayvalve.internal.gateway.quotas import Admission
 from jayvalve.internal.organisations import Organisation
 
@@ -19,6 +20,9 @@
         events: Number of events with data that were received from engines.
         store_s: Time to fetch the preceding turns and reserve tokens, in seconds.
         budget: Source of the reserved tokens, or None if none were reserved.
+        origin: What began the stream that the call resumes, for a caller or within its answer, or
+            None.
+        origin_source: Who knew it for a caller, or None.
         admission: Admission within the quota of the organisation, or None if it has no limit.
 
     """
@@ -35,4 +39,6 @@
     events: int = 0
     store_s: float = 0.0
     budget: str | None = None
+    origin: StreamOrigin | None = None
+    origin_source: str | None = None
     admission: Admission | None = None
--- a/src/jayvalve/internal/gateway/service.py
+++ b/src/jayvalve/internal/gateway/service.py
@@ -40,6 +40,7 @@
 from jayvalve.internal.gateway.sender import EngineSender
 from jayvalve.internal.gateway.stop_window import CallsEndedError, StopSettings, StopWindow
 from jayvalve.internal.gateway.stream_calls import StreamCalls
+from jayvalve.internal.gateway.stream_origins import StreamOrigins
 from jayvalve.internal.gateway.turns import TurnStore
 from jayvalve.internal.metrics import Metrics
 from jayvalve.internal.organisations import KeyTable
@@ -74,6 +75,7 @@
         log_context: Callable[[], dict[str, Any]],
         buffers: AnswerBuffers,
         quotas: OrganisationQuotas,
+        origins: StreamOrigins,
     ) -> None:
         self._quotas = quotas
         self._sender = sender
@@ -86,6 +88,7 @@
             codec,
             buffers,
             clock,
+            origins,
             self._admit,
         )
         self._codec = codec
@@ -178,7 +181,7 @@
             raise DeadlineUnreachableError("the time limit has already passed")
         await self._admit(call, progress)
         if route.kind is RouteKind.STREAMING:
-            await self._streams.serve(call, responder, progress)
+            await self._streams.serve(call, table, responder, progress)
         else:
             await self._serve_plain(call, responder, progress)
 
@@ -289,6 +292,7 @@
             store_ms=round(progress.store_s * 1000, 1),
             budget=progress.budget,
             quota=progress.admission.mode if progress.admission else None,
+            origin=progress.origin_source,
             events=progress.events,
             attempts=[attempt.as_document() for attempt in progress.history.attempts],
             configuration=progress.version,
--- a/src/jayvalve/internal/gateway/stream_calls.py
+++ b/src/jayvalve/internal/gateway/stream_calls.py
@@ -9,7 +9,9 @@
 from jayvalve.errors import (
     DeadlineExceededError,
     EndpointFailedError,
+    InvalidHeaderError,
     MemoryLimitError,
+    NoEndpointError,
     TurnUnknownError,
     UnavailableError,
 )
@@ -21,8 +23,11 @@
 from jayvalve.internal.gateway.engine_answer import EngineAnswer
 from jayvalve.internal.gateway.event_relay import LAST_EVENT_ID, BrokenStreamError, EventRelay
 from jayvalve.internal.gateway.http_client import BrokenConnectionError
+from jayvalve.internal.gateway.model import RoutingTable
+from jayvalve.internal.gateway.origin_table import StreamOrigin
 from jayvalve.internal.gateway.request_progress import RequestProgress
 from jayvalve.internal.gateway.sender import EngineSender
+from jayvalve.internal.gateway.stream_origins import StreamOrigins
 from jayvalve.internal.gateway.turns import Turn, TurnStore, UnknownTurnError
 from jayvalve.internal.http_framing import Framing
 from jayvalve.internal.organisations import plain_id
@@ -42,6 +47,7 @@
     Args:
         answers: Relays the answers that are no streams, such as failures.
         buffers: Memory for events that are not complete yet, and for turns.
+        origins: What began each resumable stream.
         admit: Admits a call within the quota of its organisation, once more after a long wait.
 
     """
@@ -55,6 +61,7 @@
         codec: HeaderCodec,
         buffers: AnswerBuffers,
         clock: Clock,
+        origins: StreamOrigins,
         admit: Callable[[Call, RequestProgress], Awaitable[None]],
     ) -> None:
         self._sender = sender
@@ -64,17 +71,27 @@
         self._codec = codec
         self._buffers = buffers
         self._clock = clock
+        self._origins = origins
         self._admit = admit
 
-    async def serve(self, call: Call, responder: Responder, progress: RequestProgress) -> None:
+    async def serve(
+        self, call: Call, table: RoutingTable, responder: Responder, progress: RequestProgress
+    ) -> None:
         """Serve a call of a streaming route.
 
+        Args:
+            call: The call.
+            table: Configuration that applies to it.
+            responder: Answers the caller.
+            progress: Records progress and outcome.
+
         Raises:
             JayvalveError: The call was refused or failed. If the answer has started, it has broken
                 off.
 
         """
         started_s = self._clock.now()
+        call = await self._with_origin(call, table, progress)
         with self._buffers.open_history() as history:
             call = await self._with_history(call, history)
             grant = await self._reserve(call)
@@ -92,6 +109,31 @@
                     tokens = progress.events * (model.chunk_tokens if model else 1)
                     self._budgets.settle(grant, tokens)
 
+    async def _with_origin(
+        self, call: Call, table: RoutingTable, progress: RequestProgress
+    ) -> Call:
+        """Return a call with what began the stream that its caller resumes, at that service.
+
+        Raises:
+            InvalidHeaderError: The request does not name the attempt that began the stream.
+            UnavailableError: What began it is not known, or the route no longer leads there.
+
+        """
+        if not call.route.resumable or LAST_EVENT_ID not in call.request.headers:
+            return call
+        resumed = call.info.resumed_attempt
+        if not resumed:
+            raise InvalidHeaderError(
+                "a request that resumes a stream names the attempt that began it"
+            )
+        found = await self._origins.find(call.scoped(resumed), call.deadline)
+        origin = progress.origin = found.origin
+        progress.origin_source = found.source
+        service = table.services.get(origin.service)
+        if service is None or not call.route.leads_to(origin.service):
+            raise NoEndpointError("the route no longer leads to the service that began the stream")
+        return attrs.evolve(call, service=service, origin=origin)
+
     async def _with_history(self, call: Call, history: HistoryShare) -> Call:
         """Return a call with its preceding turns; reserve what these and storing its turn take.
 
@@ -138,7 +180,16 @@
     async def _relay(self, call: Call, responder: Responder, progress: RequestProgress) -> None:
         """Relay a stream; if a resumable one breaks off, resume it."""
         with self._buffers.open() as share:
-            relay = EventRelay.from_call(call, responder, share, self._codec.event_fields)
+
+            def record_origin(answer: EngineAnswer) -> None:
+                if call.route.resumable:
+                    version = answer.view.record.version
+                    progress.origin = StreamOrigin(call.service.name, version)
+                    self._origins.record(call.scoped(call.info.attempt_id), progress.origin)
+
+            relay = EventRelay.from_call(
+                call, responder, share, self._codec.event_fields, record_origin
+            )
             try:
                 await self._relay_attempts(call, responder, progress, relay)
             finally:
@@ -151,6 +202,7 @@
         while True:
             last_id = relay.last_id
             extra_headers = ((LAST_EVENT_ID, last_id),) if last_id is not None else ()
+            call = attrs.evolve(call, origin=progress.origin)
             answer = await self._sender.open(call, progress.history, extra_headers)
             received = False
             try:
--- a/src/jayvalve/internal/gateway/turn_locations.py
+++ b/src/jayvalve/internal/gateway/turn_locations.py
@@ -15,7 +15,7 @@
 from loguru import logger
 
 from jayvalve.internal.gateway.peer_calls import PeerCalls, PeerTimeoutError
-from jayvalve.internal.hashing import rendezvous_order
+from jayvalve.internal.gateway.peer_homes import PeerHomes
 from jayvalve.internal.malformed import MALFORMED_ERRORS, checked_address
 
 __all__ = ["LocationSettings", "TurnFetcher", "TurnLocation", "TurnLocations"]
@@ -104,7 +104,7 @@
     ) -> None:
         self._calls = calls
         self._own_address = own
-        self._peers = peers
+        self._homes = PeerHomes(own, peers, settings.homes)
         self._settings = settings
         self._known: OrderedDict[str, TurnLocation] = OrderedDict()
         calls.on(_LOCATE)(self._serve_locate)
@@ -131,18 +131,15 @@
         """
         location = attrs.evolve(location, writer=self._own_address)
         self.remember(turn_id, location)
-        for home in self._homes(turn_id):
-            if home != self._own_address:
-                self._calls.notify(home, _STORED, [turn_id, *attrs.astuple(location)])
+        for home in self._homes.others(turn_id):
+            self._calls.notify(home, _STORED, [turn_id, *attrs.astuple(location)])
 
     async def find(self, turn_id: str) -> TurnLocation | None:
         """Return the location of a turn, or None if neither this gateway nor a home knows it."""
         location = self._known.get(turn_id)
         if location is not None:
             return location
-        for home in self._homes(turn_id):
-            if home == self._own_address:
-                continue
+        for home in self._homes.others(turn_id):
             location = await self._ask(home, turn_id)
             if location is not None:
                 self.remember(turn_id, location)
@@ -157,13 +154,6 @@
             _log.bind(turn=turn_id, error=str(error)).info("a home did not return a location")
             return None
 
-    def _homes(self, turn_id: str) -> list[Address]:
-        addresses = {f"{host}:{port}": (host, port) for host, port in self._peers()}
-        host, port = self._own_address
-        addresses[f"{host}:{port}"] = self._own_address
-        order = rendezvous_order(turn_id, addresses)
-        return [addresses[name] for name in order[: self._settings.homes]]
-
     async def _serve_locate(self, arguments: list[Any]) -> list[Any]:
         (turn_id,) = arguments
         location = self._known.get(turn_id)
--- a/src/jayvalve/platform/process.py
+++ b/src/jayvalve/platform/process.py
@@ -33,6 +33,7 @@
 from jayvalve.internal.gateway.status import StatusServer
 from jayvalve.internal.gateway.storage import Storage, StorageSettings
 from jayvalve.internal.gateway.store_paths import PathSettings, StorePaths
+from jayvalve.internal.gateway.stream_origins import StreamOrigins
 from jayvalve.internal.gateway.turn_locations import LocationSettings, TurnLocations
 from jayvalve.internal.gateway.turns import TurnSettings, TurnStore
 from jayvalve.internal.metrics import Metrics
@@ -44,7 +45,7 @@
 from jayvalve.platform.headers import PlatformHeaders
 from jayvalve.platform.relay import StoreRelay, fetch_turn_records
 from jayvalve.platform.settings import PlatformSettings, load_platform_settings
-from jayvalve.platform.store import StoreClient
+from jayvalve.platform.store import StoreClient, probe_store
 from jayvalve.platform.topics import KeyedTopic, PeerRegister
 
 __all__ = ["GatewayProcess"]
@@ -162,6 +163,7 @@
             "store probes": self._storage.run,
             "idle leases": self._ledger.run,
             "remote turns": self._budgets.run,
+            "origins of streams": self._origins.run,
             "loads": self._exchange.run,
             **self._fleet_state.tasks(),
             "loop monitor": self._loop_monitor.run,
@@ -248,7 +250,7 @@
             clock,
             StorageSettings(link_bytes_per_s=settings.link_bytes_per_s),
             self._rng,
-            _probe_store,
+            probe_store,
         )
         self._relay = StoreRelay(
             store_client,
@@ -268,6 +270,15 @@
             ),
             self._fetch_turn,
         )
+        self._origins = StreamOrigins.from_config(
+            self._storage,
+            store.partitions,
+            self._calls,
+            settings.peer,
+            self._loads.live_addresses,
+            clock,
+            self._metrics,
+        )
         self._health = HealthTracker(clock, HealthSettings(), settings.data_centre)
         self._build_fleet_state()
         self._build_sender()
@@ -294,6 +305,7 @@
             self._log_context,
             self._buffers,
             self._fleet_state.quotas,
+            self._origins,
         )
         self._frontend = Frontend(self._service.handle, clock, CallerLimits(), guards.for_callers)
         self._status = StatusServer(
@@ -395,6 +407,7 @@
             ),
             "engine_failures": (lambda: len(self._health.report()), "engines that failed lately"),
             **self._fleet_state.gauges(),
+            "pending_origins": (lambda: self._origins.pending, "origins of streams to be stored"),
             "turn_memory_bytes": (lambda: self._turns.memory_bytes, "texts of turns in memory"),
         }
         for name, (read_value, help_text) in gauges.items():
@@ -482,8 +495,3 @@
 def _boot_time() -> float:
     """Return seconds since the machine started, also those for which it was suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
-async def _probe_store(client: StoreClient, timeout_s: float) -> None:
-    """Make a call that the store answers immediately on any working path."""
-    await client.read(names.CONFIG_TOPIC, 0, 0, timeout_s, max_bytes=1)
--- a/src/jayvalve/platform/store.py
+++ b/src/jayvalve/platform/store.py
@@ -28,6 +28,7 @@
     "decode_page",
     "encode_keyed",
     "encode_page",
+    "probe_store",
 ]
 
 _LENGTH = struct.Struct(">I")
@@ -258,6 +259,11 @@
             raise LogUnavailableError(f"{action} was answered with status {status}")
 
 
+async def probe_store(client: StoreClient, timeout_s: float) -> None:
+    """Make a call that the store answers immediately on any working path."""
+    await client.read(names.CONFIG_TOPIC, 0, 0, timeout_s, max_bytes=1)
+
+
 def decode_page(answer: bytes, start: int) -> StorePage:
     """Return the page in the answer to a read from offset start on.
 
--- a/tests/cover/test_gateway_stream_versions.py
+++ b/tests/cover/test_gateway_stream_versions.py
@@ -213,6 +213,7 @@
             await fleet.begin("began")
             await fleet.add("v2")
             fleet.deployment.store.put("keyed.servers", "engine-0", None)
+            fleet.engines[0].ended = True
             async with asyncio.timeout(5.0):
                 while fleet.deployment.gateways[0].known_engines > 1:
                     await asyncio.sleep(0.02)
