--- a/src/jayvalve/internal/measure/capacity/child.py
+++ b/src/jayvalve/internal/measure/capacity/child.py
@@ -10,6 +10,7 @@
     log_rates,
     programs,
     shared_counts,
+    stream_origins,
 )
 from jayvalve.internal.measure.capacity.bench import STATE_BENCHES
 
--- a/src/jayvalve/internal/measure/capacity/run.py
+++ b/src/jayvalve/internal/measure/capacity/run.py
@@ -17,6 +17,7 @@
     log_rates,
     programs,
     shared_counts,
+    stream_origins,
 )
 from jayvalve.internal.measure.capacity.bench import STATE_BENCHES, Row, fit_rows
 from jayvalve.internal.measure.capacity.peers import measure_connections, measure_peers
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -64,6 +64,7 @@
             "permit_cpu",
             "limit_notice_bytes",
             "crash_record_memory",
+            "origin_search_cpu",
         }
         self.assertEqual(set(), wanted - rows.keys())
         self.assertTrue(all(share == 1.0 for share in rows["peer_live_share"]))
