Serve callers that name no attempt where one version can have begun the stream

Change: without Resumes, a stream goes on if all streams of the last 20 s at the route's services, read from the store, were of one version, and all engines there are. Otherwise it is refused with 503, as a stream that nobody knows.

Appends that both partitions have refused now wait until the store is available instead of asking again and again.

Measured: the tests of both cases, at one gateway and after all were restarted.

--- a/src/jayvalve/internal/gateway/directory.py
+++ b/src/jayvalve/internal/gateway/directory.py
@@ -193,6 +193,12 @@
         """Return whether an engine that was chosen before still accepts new requests."""
         return self._views.get(view.key.id) is view and self._takes_new_work(view)
 
+    def versions(self, service: str) -> set[str]:
+        """Return the software versions of a service's engines, also of those that leave."""
+        return {
+            view.record.version for view in self._views.values() if view.record.service == service
+        }
+
     def is_replaced(self, view: EngineView) -> bool:
         """Return whether another incarnation of an engine, or another engine, has its place."""
         return any(
--- a/src/jayvalve/internal/gateway/origin_log.py
+++ b/src/jayvalve/internal/gateway/origin_log.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable, Collection
 
 import attrs
 import msgpack
@@ -38,6 +39,8 @@
         max_batch: Maximum number of origins in one append.
         call_timeout_s: Time after which the other partition is tried, as an outage may affect only
             some partitions.
+        retry_timeout_s: Maximum time of an append after both partitions have refused one. It waits
+            until the store or the partition is available, so that it makes few calls meanwhile.
         pause_s: Pause after both partitions have refused an append, in seconds.
         page_records: Number of records that the first step backwards covers; it doubles with each
             further one.
@@ -51,6 +54,7 @@
     max_pending: int = 4096
     max_batch: int = 256
     call_timeout_s: float = 0.4
+    retry_timeout_s: float = 2.0
     pause_s: float = 0.2
     page_records: int = 256
     max_new_records: int = 2048
@@ -69,11 +73,18 @@
 
 @attrs.define
 class _Tail:
-    """The newest part of a partition that was read: records from start to end."""
+    """The newest part of a partition that was read: records from start to end.
+
+    Attributes:
+        reached_s: When the oldest of these streams began, in seconds since the Unix epoch.
+        newest: When the newest stream of each origin began.
+
+    """
 
     start: int = 0
     end: int | None = None
     reached_s: float = 0.0
+    newest: dict[StreamOrigin, float] = attrs.field(factory=dict)
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
 
@@ -156,7 +167,11 @@
         unreadable: UnavailableError | None = None
         for choice in range(PARTITION_CHOICES):
             try:
-                await self._search(stream_id, self._partitions.of(stream_id, choice), deadline)
+                await self._search(
+                    self._partitions.of(stream_id, choice),
+                    lambda: stream_id in self._table,
+                    deadline,
+                )
             except UnavailableError as error:
                 unreadable = error
             if stream_id in self._table:
@@ -165,6 +180,23 @@
             raise unreadable
         return None
 
+    async def recent(self, services: Collection[str], deadline: Deadline) -> set[StreamOrigin]:
+        """Return the origins of all streams of some services that began in the last seconds.
+
+        Raises:
+            UnavailableError: A partition cannot be read.
+
+        """
+        places = self._partitions.places
+        await asyncio.gather(*(self._search(place, lambda: False, deadline) for place in places))
+        oldest_s = self._clock.wall() - self._settings.lifetime_s
+        return {
+            origin
+            for place in places
+            for origin, began_s in self._tails[place].newest.items()
+            if origin.service in services and began_s >= oldest_s
+        }
+
     def _enqueue(self, pending: _PendingOrigin) -> None:
         partition = self._partitions.of(pending.stream_id, pending.tries % PARTITION_CHOICES)
         queue = self._pending.setdefault(partition, deque())
@@ -182,14 +214,16 @@
             while queue:
                 size = min(len(queue), settings.max_batch)
                 batch = [queue.popleft() for _ in range(size)]
+                is_retry = any(pending.tries >= PARTITION_CHOICES for pending in batch)
+                timeout_s = settings.retry_timeout_s if is_retry else settings.call_timeout_s
                 try:
                     await self._storage.append(
                         partition.topic,
                         partition.index,
                         [pending.record for pending in batch],
-                        Deadline.after(self._clock, settings.call_timeout_s),
-                        call_timeout_s=settings.call_timeout_s,
-                        wait_until_available=False,
+                        Deadline.after(self._clock, timeout_s),
+                        call_timeout_s=timeout_s,
+                        wait_until_available=is_retry,
                     )
                 except UnavailableError:
                     # The storage has logged the reason.
@@ -214,16 +248,18 @@
         if lost:
             _log.bind(streams=lost).warning("origins of streams could not be stored in time")
 
-    async def _search(self, stream_id: str, partition: Partition, deadline: Deadline) -> None:
-        """Read the newest records of a partition until they contain a stream."""
+    async def _search(
+        self, partition: Partition, found: Callable[[], bool], deadline: Deadline
+    ) -> None:
+        """Read the newest records of a partition until something is found among them."""
         tail = self._tails.setdefault(partition, _Tail())
         async with tail.lock:
-            if stream_id in self._table:
+            if found():
                 return
             await self._read_new(partition, tail, deadline)
             oldest_s = self._clock.wall() - self._settings.lifetime_s
             step = self._settings.page_records
-            while stream_id not in self._table and tail.start > 0 and tail.reached_s > oldest_s:
+            while not found() and tail.start > 0 and tail.reached_s > oldest_s:
                 start = max(0, tail.start - step)
                 first = await self._read_range(partition, start, tail.start, tail, deadline)
                 tail.start = start
@@ -238,8 +274,8 @@
             page = await self._read(partition, tail.end, deadline)
             is_near = page.first <= tail.end <= page.end
             if is_near and page.end - tail.end <= self._settings.max_new_records:
-                self._keep(page, None)
-                await self._read_range(partition, page.next, page.end, None, deadline)
+                self._keep(page, tail)
+                await self._read_range(partition, page.next, page.end, tail, deadline)
                 tail.end = page.end
                 return
         page = await self._read(partition, 0, deadline, max_bytes=1)
@@ -247,9 +283,10 @@
             page = await self._read(partition, page.first, deadline, max_bytes=1)
         tail.start = tail.end = page.end
         tail.reached_s = self._clock.wall()
+        tail.newest.clear()
 
     async def _read_range(
-        self, partition: Partition, start: int, end: int, tail: _Tail | None, deadline: Deadline
+        self, partition: Partition, start: int, end: int, tail: _Tail, deadline: Deadline
     ) -> int:
         """Keep the origins from start to end, and return the offset of the oldest record."""
         first = 0
@@ -266,7 +303,7 @@
             position = page.next
         return first
 
-    def _keep(self, page: Page, tail: _Tail | None) -> None:
+    def _keep(self, page: Page, tail: _Tail) -> None:
         for record in page.records:
             try:
                 stream_id, origin, wall_s = decode_origin(record)
@@ -274,8 +311,8 @@
                 _log.bind(error=str(error)).warning("skipping a record of streams")
                 continue
             self._table.add(stream_id, origin)
-            if tail is not None:
-                tail.reached_s = min(tail.reached_s, wall_s)
+            tail.reached_s = min(tail.reached_s, wall_s)
+            tail.newest[origin] = max(wall_s, tail.newest.get(origin, wall_s))
 
     async def _read(
         self, partition: Partition, start: int, deadline: Deadline, max_bytes: int | None = None
--- a/src/jayvalve/internal/gateway/partitions.py
+++ b/src/jayvalve/internal/gateway/partitions.py
@@ -39,6 +39,15 @@
         """Number of partitions in all topics."""
         return self.topics * self.per_topic
 
+    @property
+    def places(self) -> tuple[Partition, ...]:
+        """All partitions."""
+        return tuple(
+            Partition(f"{self.prefix}{topic}", index)
+            for topic in range(self.topics)
+            for index in range(self.per_topic)
+        )
+
     def of(self, key: str, choice: int = 0) -> Partition:
         """Return the partition of a key.
 
--- a/src/jayvalve/internal/gateway/stream_calls.py
+++ b/src/jayvalve/internal/gateway/stream_calls.py
@@ -9,7 +9,6 @@
 from jayvalve.errors import (
     DeadlineExceededError,
     EndpointFailedError,
-    InvalidHeaderError,
     MemoryLimitError,
     NoEndpointError,
     TurnUnknownError,
@@ -115,18 +114,18 @@
         """Return a call with what began the stream that its caller resumes, at that service.
 
         Raises:
-            InvalidHeaderError: The request does not name the attempt that began the stream.
             UnavailableError: What began it is not known, or the route no longer leads there.
 
         """
         if not call.route.resumable or LAST_EVENT_ID not in call.request.headers:
             return call
         resumed = call.info.resumed_attempt
-        if not resumed:
-            raise InvalidHeaderError(
-                "a request that resumes a stream names the attempt that began it"
-            )
-        found = await self._origins.find(call.scoped(resumed), call.deadline)
+        if resumed:
+            found = await self._origins.find(call.scoped(resumed), call.deadline)
+        else:
+            # Callers of the platform's earlier pages do not name the attempt.
+            services = {name for name, _ in call.route.services}
+            found = await self._origins.find_only(services, call.deadline)
         origin = progress.origin = found.origin
         progress.origin_source = found.source
         service = table.services.get(origin.service)
--- a/src/jayvalve/internal/gateway/stream_origins.py
+++ b/src/jayvalve/internal/gateway/stream_origins.py
@@ -5,7 +5,7 @@
 and the store; an origin that nobody knows is not guessed.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Any, Self
 
 import attrs
@@ -37,7 +37,12 @@
 
 @attrs.frozen
 class FoundOrigin:
-    """The origin of a stream, and whether memory, a peer or the store knew it."""
+    """The origin of a stream.
+
+    Attributes:
+        source: Who knew it: memory, peer or store; only, if there was no other possibility.
+
+    """
 
     origin: StreamOrigin
     source: str
@@ -51,6 +56,7 @@
         homes: Gateways that are told of each stream.
         log: Origins in the store.
         table: Origins that this process knows.
+        versions: Returns the software versions of a service's engines.
 
     """
 
@@ -60,8 +66,10 @@
         homes: PeerHomes,
         log: OriginLog,
         table: OriginTable,
+        versions: Callable[[str], set[str]],
         metrics: Metrics,
     ) -> None:
+        self._versions = versions
         self._calls = calls
         self._homes = homes
         self._origin_log = log
@@ -78,6 +86,7 @@
         calls: PeerCalls,
         own: tuple[str, int],
         peers: Callable[[], Iterable[tuple[str, int]]],
+        versions: Callable[[str], set[str]],
         clock: Clock,
         metrics: Metrics,
     ) -> Self:
@@ -89,6 +98,7 @@
             calls: Calls between the gateways.
             own: Address at which other gateways reach this one.
             peers: Returns the addresses of the other live gateways.
+            versions: Returns the software versions of a service's engines.
             clock: Clock of the process.
             metrics: Metrics of the process.
 
@@ -97,7 +107,7 @@
         # One append takes many of the short records, so a single topic suffices.
         places = PartitionMap("streams-", 1, partitions)
         log = OriginLog(storage, places, table, clock, OriginLogSettings())
-        return cls(calls, PeerHomes(own, peers), log, table, metrics)
+        return cls(calls, PeerHomes(own, peers), log, table, versions, metrics)
 
     @property
     def pending(self) -> int:
@@ -132,12 +142,39 @@
             await self._origin_log.find(stream_id, deadline)
         origin = self._table.get(stream_id)
         if origin is None:
-            source = "none"
-        self._metrics.count("jayvalve_gateway_resumed_streams_total", origin=source)
-        if origin is None:
+            self._count("none")
             raise StreamUnknownError("no gateway and no record knows what began the stream")
+        self._count(source)
         return FoundOrigin(origin, source)
 
+    async def find_only(self, services: Collection[str], deadline: Deadline) -> FoundOrigin:
+        """Return what began a stream whose caller does not name it, if only one version can have.
+
+        That is so if all streams of the last seconds at these services were of one version, and all
+        engines there are.
+
+        Raises:
+            StreamUnknownError: Several versions may have begun the stream.
+            UnavailableError: The store cannot be read.
+
+        """
+        recent = await self._origin_log.recent(services, deadline)
+        serving = {
+            StreamOrigin(service, version)
+            for service in services
+            for version in self._versions(service)
+        }
+        if len(recent) != 1 or recent != serving:
+            self._count("none")
+            raise StreamUnknownError(
+                "the request names no attempt, and several versions may have begun its stream"
+            )
+        self._count("only")
+        return FoundOrigin(recent.pop(), "only")
+
+    def _count(self, source: str) -> None:
+        self._metrics.count("jayvalve_gateway_resumed_streams_total", origin=source)
+
     async def _ask_homes(self, stream_id: str) -> None:
         if len(stream_id) > MAX_TEXT_CHARACTERS:
             return
--- a/src/jayvalve/internal/measure/capacity/stream_origins.py
+++ b/src/jayvalve/internal/measure/capacity/stream_origins.py
@@ -97,6 +97,7 @@
             calls,
             address,
             lambda: self._addresses,
+            lambda _: {ORIGIN.version},
             clock,
             Metrics(),
         )
--- a/src/jayvalve/platform/process.py
+++ b/src/jayvalve/platform/process.py
@@ -276,6 +276,7 @@
             self._calls,
             settings.peer,
             self._loads.live_addresses,
+            lambda service: self._directory.versions(service),
             clock,
             self._metrics,
         )
--- a/tests/cover/test_gateway_stream_origins.py
+++ b/tests/cover/test_gateway_stream_origins.py
@@ -69,6 +69,7 @@
         self.network = Datagrams(loop, random.Random(5), loss=loss)
         self.addresses = [(f"10.0.0.{number}", 7000 + number) for number in range(size)]
         self.tasks = []
+        self.versions = {"v1"}
         self.restart()
 
     def restart(self):
@@ -89,13 +90,17 @@
             calls,
             address,
             lambda: self.addresses,
+            lambda service: self.versions,
             self.clock,
             Metrics(),
         )
 
+    def deadline(self):
+        return Deadline.after(self.clock, 3.0)
+
     async def find(self, stream_id, gateway=0):
         """Return who knew the origin of a stream, after checking the origin."""
-        found = await self.gateways[gateway].find(stream_id, Deadline.after(self.clock, 3.0))
+        found = await self.gateways[gateway].find(stream_id, self.deadline())
         if found.origin != ORIGIN:
             raise AssertionError(f"{found} is not {ORIGIN}")
         return found.source
@@ -279,6 +284,44 @@
 
         self.play(work)
 
+    def test_a_stream_that_is_not_named_goes_on_where_one_version_serves(self):
+        """Guards against failing callers that name no attempt, as earlier pages allow."""
+
+        async def work(fleet):
+            fleet.fill(1000)
+            fleet.restart()
+            found = await fleet.gateways[0].find_only({"models"}, fleet.deadline())
+            self.assertEqual(ORIGIN, found.origin)
+
+        self.play(work, size=1)
+
+    def test_a_stream_that_is_not_named_is_refused_where_versions_differ(self):
+        """Guards against ORDER: a guess for a caller that names no attempt."""
+
+        async def refused(fleet, service="models"):
+            with self.assertRaises(StreamUnknownError):
+                await fleet.gateways[0].find_only({service}, fleet.deadline())
+
+        async def work(fleet):
+            await refused(fleet)
+            fleet.fill(1000)
+            await refused(fleet, "other")
+            fleet.versions = {"v1", "v2"}
+            await refused(fleet)
+            # The engine of the other version has just left.
+            fleet.versions = {"v1"}
+            fleet.gateways[0].record("s", StreamOrigin("models", "v2"))
+            await asyncio.sleep(1.0)
+            fleet.restart()
+            await refused(fleet)
+            await asyncio.sleep(25.0)
+            fleet.gateways[0].record("later", ORIGIN)
+            await asyncio.sleep(0.05)
+            found = await fleet.gateways[0].find_only({"models"}, fleet.deadline())
+            self.assertEqual(ORIGIN, found.origin)
+
+        self.play(work, size=1)
+
     def test_records_of_other_writers_do_not_stop_a_search(self):
         """Guards against LOST because of one malformed record."""
 
--- a/tests/cover/test_gateway_stream_versions.py
+++ b/tests/cover/test_gateway_stream_versions.py
@@ -88,8 +88,10 @@
         return version
 
     async def resume(self, resumed, attempt="again", gateway=0):
-        """Resume a stream and return the answer."""
-        headers = {"Last-Event-Id": str(BEGUN), "Resumes": resumed}
+        """Resume a stream, which may be None for one that is not named, and return the answer."""
+        headers = {"Last-Event-Id": str(BEGUN)}
+        if resumed is not None:
+            headers["Resumes"] = resumed
         return await self.deployment.call(
             "/advice/1", attempt=attempt, gateway=gateway, headers=headers
         )
@@ -129,9 +131,9 @@
             self.assertEqual((200, REST, True), (answer.status, answer.body, answer.whole))
             self.assertEqual({**before, version: before[version] + 1}, fleet.resumptions())
 
-    async def check_refused(self, fleet, **options):
+    async def check_refused(self, fleet, resumed="began"):
         """Check that a resumption is refused at once, and that no engine runs it."""
-        answer = await fleet.resume("began", **options)
+        answer = await fleet.resume(resumed)
         self.assertEqual(503, answer.status)
         self.assertIn("retry-after", answer.headers)
         self.assertEqual({0}, set(fleet.resumptions().values()))
@@ -223,6 +225,25 @@
 
         self.play(work, "v1")
 
+    def test_a_stream_that_is_not_named_goes_on_where_one_version_serves(self):
+        """Guards against failing callers of earlier pages, also after all gateways were killed."""
+
+        async def work(fleet):
+            await fleet.begin("began")
+            await fleet.restart_gateways()
+            await self.check_resumed(fleet, {None: "v1"})
+
+        self.play(work, "v1", "v1")
+
+    def test_a_stream_that_is_not_named_is_refused_where_versions_differ(self):
+        """Guards against ORDER: a guess for a caller that names no attempt."""
+
+        async def work(fleet):
+            await fleet.begin("began")
+            await self.check_refused(fleet, resumed=None)
+
+        self.play(work, "v1", "v2")
+
     def test_a_resumption_that_breaks_off_goes_on_at_its_version(self):
         """Guards against ORDER in the second try of a caller, which names the first attempt."""
 
