Let callers of the soak resume streams between two software versions

Half of the soak's model engines run another version and name it in their events. Callers leave some streams after two events and resume them, and streams that broke off, with Resumes at any gateway; a stream with events of two versions is a violation.

The stand-in of an engine counted health checks as runs without an id, which the soak reported as ' ran 19 times' (seed 5003): gateways check engines whose entry is gone while they may run a request, and callers that leave make such requests. It answers /health itself now, with its id.

--- a/src/jayvalve/standins/platform_engine.py
+++ b/src/jayvalve/standins/platform_engine.py
@@ -42,6 +42,8 @@
             enforce the limit.
         crash_text: Text in the body of a request at which the engine ends: it stops listening and
             closes all connections. Empty for none.
+        version: Version of the engine's software, in its entry.
+        names_version: Whether each event of a stream names that version as its type.
         leaving: Whether the engine announces in its answers that it leaves. It goes on serving.
         seed: Seed of the random faults.
 
@@ -60,6 +62,8 @@
     extra_share: float = 0.0
     limit_per_s: float | None = None
     crash_text: str = ""
+    version: str = "v1"
+    names_version: bool = False
     leaving: bool = False
     seed: int = 1
 
@@ -75,6 +79,7 @@
             [
                 ("/standin/record", RecordHandler),
                 ("/standin/settings", SettingsHandler),
+                ("/health", HealthHandler),
                 ("/.*", CallHandler),
             ]
         )
@@ -107,7 +112,7 @@
             "service": service,
             "address": address,
             "zone": "zone-a",
-            "version": "v1",
+            "version": self.settings.version,
             "slots": self.settings.slots,
             "state": state,
             "cold_remaining_ms": 0,
@@ -210,11 +215,25 @@
                 self.drop_connection()
                 return
             engine.tokens[attempt] += settings.chunk_tokens
-            self.write(f"id: {number}\ndata: {attempt}/{number}\n\n")
+            kind = f"event: {settings.version}\n" if settings.names_version else ""
+            self.write(f"{kind}id: {number}\ndata: {attempt}/{number}\n\n")
             await self.flush()
         self.finish()
 
 
+class HealthHandler(StandInHandler):
+    """GET /health names the engine; a health check is no run."""
+
+    standin: PlatformEngine  # type: ignore[assignment]
+
+    def get(self) -> None:
+        """Return 200, or 503 while the engine leaves."""
+        settings = self.standin.settings
+        self.set_status(503 if settings.leaving else 200)
+        self.set_header("X-Jayvalve-Instance-Id", settings.id)
+        self.finish()
+
+
 class RecordHandler(StandInHandler):
     """GET /standin/record returns the requests that the engine recorded."""
 
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -261,8 +261,12 @@
     method: str | None = None,
     deadline_ms: int = 3000,
     headers: dict[str, str] | None = None,
+    until: bytes | None = None,
 ) -> Answer:
-    """Send one request on a new connection and read the complete answer."""
+    """Send one request on a new connection and read the complete answer.
+
+    With until, read only up to these bytes, and return what arrived as the body.
+    """
     lines = {
         "Host": "shop.example",
         "X-Jayvalve-Attempt-Id": attempt,
@@ -276,7 +280,11 @@
     reader, writer = await asyncio.open_connection(HOST, port)
     try:
         writer.write(f"{verb} {path} HTTP/1.1\r\n{head}\r\n".encode() + (body or b""))
+        if until is not None:
+            return Answer(0, {}, await reader.readuntil(until), whole=False)
         return await read_answer(reader)
+    except asyncio.IncompleteReadError as error:
+        return Answer(0, {}, error.partial, whole=False)
     finally:
         writer.close()
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -22,6 +22,10 @@
 MAX_TURN_TOKENS = 80
 CHUNK_TOKENS = 13
 CALL_TIMEOUT_S = 8.0
+# How often a caller resumes a stream that broke off.
+MAX_RESUMPTIONS = 3
+# Share of the streams that are not kept whose caller leaves and comes back.
+LEAVE_SHARE = 0.3
 
 
 @attrs.define
@@ -36,6 +40,7 @@
             that got a complete answer.
         prompts: Prompt that an engine must receive, by attempt on the kept route.
         tokens: Number of tokens that callers received, by program.
+        resumed: Number of streams that were resumed to their end.
         refused: Status of each attempt that was refused with 402, 429 or 503.
         violations: Violated promises.
 
@@ -47,6 +52,7 @@
     kept: dict[str, bytes] = attrs.field(factory=dict)
     prompts: dict[str, bytes] = attrs.field(factory=dict)
     tokens: Counter[str] = attrs.field(factory=Counter)
+    resumed: int = 0
     refused: dict[str, int] = attrs.field(factory=dict)
     violations: list[str] = attrs.field(factory=list)
 
@@ -130,6 +136,9 @@
         prompt = (self.ledger.kept[previous] if previous else b"") + prompt
         if kept:
             self.ledger.prompts[attempt] = prompt
+        if not kept and self._rng.random() < LEAVE_SHARE:
+            await self._leave_and_resume(attempt, headers)
+            return
         answer = await self._call(path, attempt, body, headers)
         if answer is None:
             return
@@ -138,10 +147,54 @@
         self._check_chunks(attempt, answer, events)
         if answer.status == 404:
             self.ledger.violations.append(f"{attempt}: kept turn {previous} was answered 404")
+        if not kept and events and not answer.whole:
+            await self._resume(attempt, answer, headers)
         if kept and answer.status == 200 and answer.whole:
             self.ledger.kept[attempt] = prompt + b"".join(event + b"\n" for event in events)
             earlier.append(attempt)
 
+    async def _leave_and_resume(self, attempt: str, headers: dict[str, str]) -> None:
+        """Leave a stream after its second event, and resume it."""
+        self.ledger.calls += 1
+        port = self._rng.choice(self.fleet.gateways).port
+        last = f"data: {attempt}/2\n\n".encode()
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                answer = await request(
+                    port, "/advice/", attempt=attempt, body=b"in;", headers=headers, until=last
+                )
+        except (OSError, TimeoutError):
+            return
+        if answer.body.endswith(last):
+            # At most all four events were made.
+            self.ledger.tokens[headers["X-Jayvalve-Program-Id"]] += 4 * CHUNK_TOKENS
+            await self._resume(attempt, answer, headers)
+
+    async def _resume(self, began: str, answer: Answer, headers: dict[str, str]) -> None:
+        """Resume a stream until it is whole; its events must all be of one software version."""
+        body = answer.body
+        for _ in range(MAX_RESUMPTIONS):
+            received = body.count(b"\ndata: ")
+            self._last_id += 1
+            attempt = f"advice-{self._last_id}"
+            names = {"Last-Event-Id": str(received), "Resumes": began}
+            part = await self._call("/advice/", attempt, b"again;", {**headers, **names})
+            if part is None or part.status != 200:
+                continue
+            expected = f"id: {received + 1}\ndata: {attempt}/{received + 1}\n".encode()
+            if part.body and expected not in part.body:
+                self.ledger.violations.append(f"{attempt} resumed {began} with {part.body!r}")
+            body += part.body
+            self.ledger.tokens[headers["X-Jayvalve-Program-Id"]] += CHUNK_TOKENS * part.body.count(
+                b"\ndata: "
+            )
+            if part.whole:
+                self.ledger.resumed += 1
+                break
+        versions = {line for line in body.split(b"\n") if line.startswith(b"event: ")}
+        if len(versions) > 1:
+            self.ledger.violations.append(f"{began} was joined from {sorted(versions)}")
+
     def _check_chunks(self, attempt: str, answer: Answer, events: list[bytes]) -> None:
         expected = [f"{attempt}/{number}".encode() for number in range(1, len(events) + 1)]
         if answer.status == 200 and events != expected:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -160,7 +160,8 @@
         self._stack.push_async_callback(self.store.stop)
         self.store.put("keyed.op", "config", configuration())
         for number in range(models):
-            await self._add_engine(f"model-{number}", "models", streaming=True)
+            version = f"v{1 + number % 2}"
+            await self._add_engine(f"model-{number}", "models", streaming=True, version=version)
         for number in range(tools):
             await self._add_engine(f"tool-{number}", "tools", streaming=False)
         for number in range(gateways):
@@ -220,10 +221,18 @@
         link.fault = LinkFault.NONE
         self.restart_engine(name)
 
-    async def _add_engine(self, name: str, service: str, streaming: bool) -> None:
-        seed = self.rng.randrange(1 << 30)
+    async def _add_engine(
+        self, name: str, service: str, streaming: bool, version: str = "v1"
+    ) -> None:
         engine = PlatformEngine(
-            PlatformEngineSettings(id=name, streaming=streaming, work_ms=10.0, seed=seed)
+            PlatformEngineSettings(
+                id=name,
+                streaming=streaming,
+                work_ms=10.0,
+                version=version,
+                names_version=streaming,
+                seed=self.rng.randrange(1 << 30),
+            )
         )
         port = await engine.start()
         self._stack.push_async_callback(engine.stop)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -39,6 +39,7 @@
     faults: tuple[str, ...]
     calls: int
     served: int
+    resumed: int
     recovery_s: float
     violations: tuple[str, ...]
     logs: pathlib.Path | None
@@ -61,6 +62,7 @@
         tuple(faults),
         ledger.calls,
         ledger.served,
+        ledger.resumed,
         recovery_s,
         tuple(ledger.violations),
         folder if ledger.violations else None,
@@ -100,13 +102,14 @@
     configure_logging("soak", "ERROR")
     start = first or int(time.time()) % 1_000_000
     results = [asyncio.run(soak(seed, seconds)) for seed in range(start, start + seeds)]
-    table = Table("seed", "faults", "calls", "served", "recovery s", "violations")
+    table = Table("seed", "faults", "calls", "served", "resumed", "recovery s", "violations")
     for result in results:
         table.add_row(
             str(result.seed),
             str(len(result.faults)),
             str(result.calls),
             str(result.served),
+            str(result.resumed),
             f"{result.recovery_s:.1f}",
             str(len(result.violations)),
         )
