--- a/src/jayvalve/internal/gateway/origin_log.py
+++ b/src/jayvalve/internal/gateway/origin_log.py
@@ -217,7 +217,7 @@
                 is_retry = any(pending.tries >= PARTITION_CHOICES for pending in batch)
                 timeout_s = settings.retry_timeout_s if is_retry else settings.call_timeout_s
                 try:
-                    await self._storage.append(
+                    offset = await self._storage.append(
                         partition.topic,
                         partition.index,
                         [pending.record for pending in batch],
@@ -228,10 +228,19 @@
                 except UnavailableError:
                     # The storage has logged the reason.
                     await self._retry(batch)
+                else:
+                    self._note_end(partition, offset)
         finally:
             self._writing.discard(partition)
             self._wake.set()
 
+    def _note_end(self, partition: Partition, offset: int) -> None:
+        """Let the next search begin at an append, unless something of the partition was read."""
+        tail = self._tails.setdefault(partition, _Tail())
+        if tail.end is None or (tail.start == tail.end and not tail.lock.locked()):
+            tail.start = tail.end = offset
+            tail.reached_s = self._clock.wall()
+
     async def _retry(self, batch: list[_PendingOrigin]) -> None:
         """Queue origins for the other partition, those that have had both after a pause."""
         for pending in batch:
--- a/src/jayvalve/internal/gateway/stream_origins.py
+++ b/src/jayvalve/internal/gateway/stream_origins.py
@@ -31,6 +31,9 @@
 MAX_TEXT_CHARACTERS = 1024
 # Maximum time to wait for the answer of one gateway, in seconds. Reading the store takes less.
 PEER_TIMEOUT_S = 0.1
+# One append takes many of the short records. A search for a stream that its caller does not name
+# reads all partitions.
+MAX_PARTITIONS = 4
 _BEGAN = "stream_began"
 _FIND = "stream_find"
 
@@ -104,8 +107,7 @@
 
         """
         table = OriginTable()
-        # One append takes many of the short records, so a single topic suffices.
-        places = PartitionMap("streams-", 1, partitions)
+        places = PartitionMap("streams-", 1, min(partitions, MAX_PARTITIONS))
         log = OriginLog(storage, places, table, clock, OriginLogSettings())
         return cls(calls, PeerHomes(own, peers), log, table, versions, metrics)
 
