--- a/tests/cover/test_gateway_stream_origins.py
+++ b/tests/cover/test_gateway_stream_origins.py
@@ -162,6 +162,21 @@
 
         self.play(work)
 
+    def test_origins_reach_a_slow_store(self):
+        """Guards against LOST when each call of the store takes fifty times as long as usual."""
+
+        async def work(fleet):
+            fleet.log.delay_s = 0.2
+            for number in range(20):
+                fleet.gateways[0].record(f"s{number}", ORIGIN)
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(0.5)
+            fleet.restart()
+            for number in range(20):
+                self.assertIn(await fleet.find(f"s{number}"), ("memory", "store"))
+
+        self.play(work, loss=1.0)
+
     def test_origins_are_stored_when_the_store_is_back(self):
         """Guards against LOST and unbounded memory when the store is away for some seconds."""
 
